--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -20,6 +20,7 @@
     Reply,
 )
 from ragwortpost.process._datagrams import DatagramPort, Send
+from ragwortpost.process._entry_choice import EntryChoice
 from ragwortpost.process._flows import FlowTable
 from ragwortpost.process._http import HttpHandler
 from ragwortpost.process._intake import Intake, IntakePorts
@@ -83,7 +84,8 @@
         self._name = node.settings.name
         self._ident = short_id(self._name)
         self._service = short_id(self._name.partition('/')[0])
-        self._fleet = node.fleet
+        self._live_entries = node.fleet.live_entries()
+        self._entries = EntryChoice(node.clock, node.rng)
         self._stopping = False
         self._ramp = Ramp(node.clock)
         self._slots = Slots(node.clock, Policy(), self._ramp)
@@ -132,7 +134,7 @@
 
     def apply(self, fleet: Fleet) -> None:
         """Follow another view."""
-        self._fleet = fleet
+        self._live_entries = fleet.live_entries()
         self._dispatcher.apply(fleet)
         self._streams.apply(fleet)
         self._intake.apply(fleet)
@@ -237,6 +239,7 @@
             send=self._send_to,
             open_flow=self._open_flow,
             has_room=self._has_room,
+            heard=self._entries.heard,
             is_awake=node.pause.check,
             random_bytes=reach.random_bytes,
         )
@@ -258,11 +261,11 @@
         return len(self._flows) < bearable
 
     def _entry_for(self, flow: Flow) -> HostPort:
-        # An entry that died takes no replies; probes go through others.
-        if not flow.connection.probe_count:
-            return flow.entry
-        entries = self._fleet.live_entries()
-        return self._node.rng.choice(entries) if entries else flow.entry
+        return self._entries.choose(
+            flow.entry,
+            self._live_entries,
+            probing=flow.connection.probe_count > 0,
+        )
 
     def _leave(self) -> None:
         self._lifecycle.leave()
--- a/src/ragwortpost/process/_intake.py
+++ b/src/ragwortpost/process/_intake.py
@@ -70,6 +70,8 @@
     open_flow: Callable[[bytes], Flow]
     # Whether another connection may be opened now.
     has_room: Callable[[], bool]
+    # Notes that an entry passed something on.
+    heard: Callable[[HostPort], None]
     # Whether the view may be trusted now.
     is_awake: Callable[[], bool]
     # Returns random bytes.
@@ -116,6 +118,7 @@
             self._counters.drop(AgentDrop.FORGED_ENVELOPE)
             return
         header, datagram = opened
+        self._ports.heard(header.entry)
         packet = read_header(datagram)
         if packet is None:
             self._counters.drop(AgentDrop.MALFORMED)
--- a/standin/deployment.py
+++ b/standin/deployment.py
@@ -170,7 +170,7 @@
         """Start all processes; ``stack`` stops them."""
         stack.push_async_callback(self.stop)
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
-        self._write_certificate()
+        write_certificate(self.folder)
         host = self.platform.removeprefix('http://').partition(':')[0]
         await self._spawn(
             'platform', 'standin.platform', '--host', host, '--port', '8500'
@@ -425,30 +425,34 @@
             except aiohttp.ClientError:
                 await asyncio.sleep(0.1)
 
-    def _write_certificate(self) -> None:
-        key = ec.generate_private_key(ec.SECP256R1())
-        name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, 'service')])
-        now = datetime.datetime.now(datetime.UTC)
-        certificate = (
-            x509.CertificateBuilder()
-            .subject_name(name)
-            .issuer_name(name)
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(now - datetime.timedelta(days=1))
-            .not_valid_after(now + datetime.timedelta(days=30))
-            .sign(key, hashes.SHA256())
-        )
-        (self.folder / 'certificate.pem').write_bytes(
-            certificate.public_bytes(serialization.Encoding.PEM),
-        )
-        (self.folder / 'key.pem').write_bytes(
-            key.private_bytes(
-                serialization.Encoding.PEM,
-                serialization.PrivateFormat.TraditionalOpenSSL,
-                serialization.NoEncryption(),
-            ),
-        )
+
+def write_certificate(folder: Path) -> None:
+    """Write a new self-signed certificate and its key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, 'service')])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=30))
+        .sign(key, hashes.SHA256())
+    )
+    (folder / 'certificate.pem').write_bytes(
+        certificate.public_bytes(serialization.Encoding.PEM),
+    )
+    (folder / 'key.pem').write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.TraditionalOpenSSL,
+            serialization.NoEncryption(),
+        ),
+    )
+
+
 
 
 def with_entries(plan: Plan, entries: int) -> Plan:
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios and differential tests over the whole system."""
--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces of the system, under virtual time."""
--- /dev/null
+++ b/tests/harness/callers.py
@@ -0,0 +1,273 @@
+"""Callers over the network in memory, and the tally of what they saw."""
+
+import asyncio
+import ssl
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+
+from ragwortpost.connection import HostPort
+from standin.caller import Answer, Caller, CallerProtocol, FlowBrokenError
+from tests.harness.network import Host, MemoryDatagrams, Network
+
+ATTEMPT_SECONDS = 6.0
+STALL_SECONDS = 3.0
+TAKEN_OUT = 'data centre taken out'
+
+
+class _Transport(asyncio.DatagramTransport):
+    """What aioquic's protocol sends through."""
+
+    def __init__(self, network: Network, address: HostPort, host: Host) -> None:
+        super().__init__()
+        self._stack = ExitStack()
+        self._port = MemoryDatagrams(network, host)
+        self._address = address
+        self.protocol: CallerProtocol | None = None
+        self._send = self._port.open(self._stack, address, self._receive)
+
+    def sendto(self, packet: Any, to: Any = None) -> None:
+        """Send a datagram."""
+        self._send(bytes(packet), to)
+
+    def close(self) -> None:
+        """Forget the address."""
+        self._stack.close()
+
+    def rebind(self, address: HostPort) -> None:
+        """Go on from another address, as behind a new NAT binding."""
+        self._stack.close()
+        self._send = self._port.open(self._stack, address, self._receive)
+
+    def _receive(self, packet: bytes, source: HostPort) -> None:
+        # Answers come from the service's address, which entries stand for.
+        if self.protocol is not None:
+            self.protocol.datagram_received(packet, self.service)
+
+    service: HostPort = ('', 0)
+
+
+@dataclass
+class Tally:
+    """What the callers saw."""
+
+    requests: int = 0
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    mixed: int = 0
+    broken_flows: int = 0
+    given_up: int = 0
+    event_gaps: int = 0
+    connects_failed: int = 0
+    # Seconds between the end of a flow that was given up and the next.
+    back_seconds: list[float] = field(default_factory=list)
+    # Final state of each non-idempotent operation, as its caller saw it.
+    operations: dict[str, str] = field(default_factory=dict)
+    # Longest wait for any final answer, in seconds.
+    slowest: float = 0
+
+
+class Callers:
+    """Opens callers and runs their work."""
+
+    def __init__(self, network: Network) -> None:
+        """Stand on ``network``."""
+        self.network = network
+        self.tally = Tally()
+        # Names of the services by address.
+        self.names: dict[HostPort, str] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stopping = False
+        self._number = 0
+        self.transports: list[_Transport] = []
+
+    async def connect(self, service: HostPort) -> Caller:
+        """Open a flow to a service."""
+        self._number += 1
+        address = (f'192.0.2.{self._number % 250}', 1024 + self._number)
+        host = Host(f'caller-{self._number}', '')
+        transport = _Transport(self.network, address, host)
+        transport.service = service
+        self.transports.append(transport)
+        configuration = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=H3_ALPN,
+            verify_mode=ssl.CERT_NONE,
+            idle_timeout=20,
+            server_name='service',
+        )
+        protocol = CallerProtocol(QuicConnection(configuration=configuration))
+        transport.protocol = protocol
+        protocol.connection_made(transport)
+        protocol.connect(service)
+        async with asyncio.timeout(ATTEMPT_SECONDS):
+            await protocol.wait_connected()
+        return Caller(protocol)
+
+    def rebind(self) -> None:
+        """Give every open flow another address."""
+        for transport in self.transports:
+            self._number += 1
+            transport.rebind((f'198.51.100.{self._number % 250}', 1024 + self._number))
+
+    def start(self, work: Any) -> None:
+        """Run a caller in a task of its own."""
+        self.tasks.add(self.network.loop.create_task(work))
+
+    async def finish(self) -> None:
+        """Let requests end, then stop all callers."""
+        self.stopping = True
+        await asyncio.sleep(ATTEMPT_SECONDS)
+        for task in self.tasks:
+            task.cancel()
+        for outcome in await asyncio.gather(*self.tasks, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                raise outcome
+
+    async def stream(self, service: HostPort) -> None:
+        """Keep an event stream open and check the order of its events."""
+        lost_at: float | None = None
+        loop = asyncio.get_running_loop()
+        while not self.stopping:
+            caller = await self._try_connect(service)
+            if caller is None:
+                continue
+            if lost_at is not None:
+                self.tally.back_seconds.append(loop.time() - lost_at)
+            try:
+                await self._listen(caller)
+            except FlowBrokenError:
+                lost_at = loop.time()
+                self._note_end(caller)
+
+    async def post(self, service: HostPort, name: str, period: float) -> None:
+        """Send non-idempotent requests one after another on one flow."""
+        number = 0
+        while not self.stopping:
+            caller = await self._try_connect(service)
+            while caller and not caller.closed and not self.stopping:
+                number += 1
+                await self.operate(caller, service, f'{name}-{number}')
+                await asyncio.sleep(period)
+            if caller and caller.closed:
+                self._note_end(caller)
+
+    async def pull(self, service: HostPort, name: str, period: float) -> None:
+        """Get documents of several sizes one after another on one flow."""
+        number = 0
+        while not self.stopping:
+            caller = await self._try_connect(service)
+            while caller and not caller.closed and not self.stopping:
+                number += 1
+                size = (100, 3000, 200000)[number % 3]
+                await self._pull(caller, service, f'{name}-{number}', size)
+                await asyncio.sleep(period)
+            if caller and caller.closed:
+                self._note_end(caller)
+
+    async def operate(self, caller: Caller, service: HostPort, operation: str) -> None:
+        """Run one non-idempotent operation to its final state."""
+        self.tally.requests += 1
+        try:
+            async with asyncio.timeout(ATTEMPT_SECONDS):
+                key = await caller.new_key()
+        except (TimeoutError, FlowBrokenError):
+            return
+        self.tally.operations[operation] = 'unknown'
+        headers = {'idempotency-key': key, 'x-operation': operation, 'x-service': self.names[service]}
+        answer = await self._until_final(caller, service, 'POST', headers, b'scan')
+        state = self._state(answer, operation, 0)
+        self.tally.operations[operation] = state
+
+    async def _pull(self, caller: Caller, service: HostPort, name: str, size: int) -> None:
+        self.tally.requests += 1
+        headers = {'x-operation': name, 'x-size': str(size), 'x-service': self.names[service]}
+        answer = await self._until_final(caller, service, 'GET', headers, b'')
+        self._state(answer, name, size)
+
+    def _state(self, answer: Answer | None, operation: str, size: int) -> str:
+        if answer is None or answer.outcome == 'unknown':
+            self.tally.unknown += 1
+            return 'unknown'
+        if answer.outcome == 'not-run':
+            return 'not-run'
+        self.tally.answered += 1
+        own = bytes(answer.body).startswith(operation.encode() + b'|')
+        if not own or (size and len(answer.body) != size):
+            self.tally.mixed += 1
+        return 'answered'
+
+    async def _until_final(
+        self,
+        caller: Caller,
+        service: HostPort,
+        method: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> Answer | None:
+        answer = None
+        through: Caller | None = caller
+        for _ in range(8):
+            if through is None or through.closed:
+                through = await self._try_connect(service)
+                continue
+            answer = await self._attempt(through, method, headers, body)
+            if answer is None:
+                through = None
+                continue
+            if answer.outcome == 'not-run':
+                self.tally.not_run += 1
+            if 'retry-after' not in answer.headers:
+                return answer
+            await asyncio.sleep(float(answer.headers['retry-after']))
+        return answer
+
+    async def _attempt(
+        self,
+        caller: Caller,
+        method: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> Answer | None:
+        started = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(ATTEMPT_SECONDS):
+                answer = await caller.call(method, '/work', headers, body)
+        except (TimeoutError, FlowBrokenError):
+            return None
+        took = asyncio.get_running_loop().time() - started
+        self.tally.slowest = max(self.tally.slowest, took)
+        return answer
+
+    async def _try_connect(self, service: HostPort) -> Caller | None:
+        try:
+            return await self.connect(service)
+        except (TimeoutError, ConnectionError):
+            self.tally.connects_failed += 1
+            await asyncio.sleep(0.2)
+            return None
+
+    async def _listen(self, caller: Caller) -> None:
+        last = 0
+        events = caller.events('/events')
+        while not self.stopping:
+            try:
+                async with asyncio.timeout(STALL_SECONDS):
+                    event = await anext(events)
+            except TimeoutError:
+                raise FlowBrokenError('stalled') from None
+            number = int(event.split()[1])
+            if last and number != last + 1:
+                self.tally.event_gaps += 1
+            last = number
+
+    def _note_end(self, caller: Caller) -> None:
+        if caller.protocol.closed_reason == TAKEN_OUT:
+            self.tally.given_up += 1
+        else:
+            self.tally.broken_flows += 1
--- /dev/null
+++ b/tests/harness/fleet.py
@@ -0,0 +1,244 @@
+"""A whole fleet in one process: the real code over the fakes."""
+
+import asyncio
+import functools
+import json
+import os
+import random
+import tempfile
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import AsyncExitStack, ExitStack
+from pathlib import Path
+
+from aioquic.quic.configuration import QuicConfiguration
+
+from ragwortpost.process import Agent, Entry, Node, ProcessSettings, tls_configuration
+from ragwortpost.process._agent import AgentPorts
+from ragwortpost.process._peers import PeerServing
+from ragwortpost.request import PeerChoice
+from ragwortpost.version import Role, SocketAddress
+from standin.deployment import Plan, write_certificate
+from tests.harness.callers import Callers
+from tests.harness.loop import ProcessClock, VirtualLoop
+from tests.harness.network import Host, MemoryDatagrams, Network
+from tests.harness.peers import MemoryExchange, MemoryPeers, PeerNetwork
+from tests.harness.platform import Platform, PlatformView
+from tests.harness.upstream import FakeUpstream, FakeUpstreamPort
+
+KEY = b'k' * 32
+COLD_SECONDS = 4.0
+
+
+@functools.cache
+def tls() -> QuicConfiguration:
+    """Return one server configuration for all agents."""
+    with tempfile.TemporaryDirectory() as folder:
+        write_certificate(Path(folder))
+        return tls_configuration(
+            str(Path(folder) / 'certificate.pem'),
+            str(Path(folder) / 'key.pem'),
+        )
+
+
+class Process:
+    """One running process of the system."""
+
+    def __init__(self, fleet: 'Fleet', name: str, role: Role, site: str, host: str) -> None:
+        """Prepare a process; :meth:`start` runs it."""
+        self.host = Host(name, site)
+        self.clock = ProcessClock(fleet.loop)
+        self.stack = AsyncExitStack()
+        self.settings = ProcessSettings(
+            role=role,
+            name=name,
+            data_centre=site,
+            address=SocketAddress(host, 7001),
+            key=KEY,
+            platform='',
+            listen_host=host if role is Role.ENTRY else '',
+        )
+        self.node = Node(
+            self.clock,
+            self.settings,
+            PlatformView(fleet.platform, self.host),
+            MemoryExchange(fleet.peers, self.host),
+            random.Random(fleet.rng.random()),
+        )
+        self.gossip = self.node.gossip
+        self.serving: PeerServing | None = None
+        self.datagrams = MemoryDatagrams(fleet.network, self.host)
+        self.agent: Agent | None = None
+        self.entry: Entry | None = None
+        fleet.peers.peers[self.settings.address] = self
+
+    async def start(self, upstream: FakeUpstream | None, peers: PeerNetwork, random_bytes: Callable[[int], bytes]) -> None:
+        """Run the process."""
+        if upstream is None:
+            self.entry = Entry(self.node, self.datagrams)
+        else:
+            self.agent = self._agent(upstream, peers, random_bytes)
+            self.serving = self.agent.serving
+        await self.node.start(self.stack)
+        sync = self.stack.enter_context(ExitStack())
+        (self.entry or self.agent).open(sync)  # type: ignore[union-attr]
+
+    def _agent(self, upstream: FakeUpstream, peers: PeerNetwork, random_bytes: Callable[[int], bytes]) -> Agent:
+        def connect_peers(choice: PeerChoice) -> MemoryPeers:
+            return MemoryPeers(peers, self.host, choice.note)
+
+        def connect_upstream(lifecycle: object) -> FakeUpstreamPort:
+            watch = asyncio.get_running_loop().create_task(upstream.watch(lifecycle))  # type: ignore[arg-type]
+            self.stack.callback(watch.cancel)
+            return FakeUpstreamPort(upstream, lifecycle, lambda: self.host.alive)  # type: ignore[arg-type]
+
+        ports = AgentPorts(self.datagrams, connect_peers, connect_upstream, random_bytes)
+        return Agent(self.node, ports, tls())
+
+    async def kill(self) -> None:
+        """End the process without any goodbye."""
+        self.host.alive = False
+        await self.stack.aclose()
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self.host.frozen = True
+        self.clock.freeze()
+
+
+class Fleet:
+    """All processes, the platform and the callers of one scenario."""
+
+    def __init__(self, plan: Plan, seed: int, entries: int = 3) -> None:
+        """Prepare a deployment's sizes; :meth:`start` runs it."""
+        self.plan = plan
+        self.loop = VirtualLoop()
+        self.rng = random.Random(seed)
+        self.network = Network(self.loop, random.Random(seed + 1))
+        self.peers = PeerNetwork(self.network)
+        self.platform = Platform()
+        self.callers = Callers(self.network)
+        self.entry_count = entries
+        self.processes: dict[str, Process] = {}
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.sections: dict[str, dict[str, str]] = {}
+        self.leaving: set[str] = set()
+        self.vms: dict[str, tuple[str, str, str]] = {}
+        self._real_urandom = os.urandom
+        self._plan_sections()
+
+    def run(self, work: object) -> object:
+        """Run a coroutine on the virtual loop."""
+        asyncio.set_event_loop(self.loop)
+        return self.loop.run_until_complete(work)  # type: ignore[arg-type]
+
+    def random_bytes(self, count: int) -> bytes:
+        """Return bytes drawn from the seed."""
+        return self.rng.randbytes(count)
+
+    async def start(self) -> None:
+        """Start all processes of the plan."""
+        os.urandom = self.random_bytes  # type: ignore[assignment]
+        self.publish()
+        self.publish_vms()
+        for service in self.plan.services:
+            self.network.services.add((service.host, service.port))
+            self.callers.names[(service.host, service.port)] = service.name
+        for name in self.upstreams:
+            await self.start_process(name)
+        for number in range(1, self.entry_count + 1):
+            await self.start_process(f'entry-{number}')
+        await asyncio.sleep(1)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for process in self.processes.values():
+            await process.kill()
+        pending = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+
+    def close(self) -> None:
+        """Give the machine's own randomness back."""
+        os.urandom = self._real_urandom
+        self.loop.close()
+
+    async def start_process(self, name: str) -> None:
+        """Start a process anew, as after a replacement of its VM."""
+        role, site, host = self.vms[name]
+        process = Process(self, name, Role(role), site, host)
+        self.processes[name] = process
+        if process.settings.role is Role.ENTRY:
+            self.network.entries[name] = host
+        await process.start(self.upstreams.get(name), self.peers, self.random_bytes)
+
+    def address(self, service: str) -> tuple[str, int]:
+        """Return a service's address."""
+        host, _, port = self.sections[f'service {service}']['address'].partition(':')
+        return host, int(port)
+
+    def text(self) -> str:
+        """Return the settings tree as operators would publish it."""
+        lines = []
+        for section, entries in self.sections.items():
+            lines.append(f'[{section}]')
+            lines += [f'{key} = {found}' for key, found in entries.items()]
+        return '\n'.join(lines)
+
+    def publish(self) -> int:
+        """Publish the tree as it is now."""
+        return self.platform.publish('settings', self.text().encode())
+
+    def publish_vms(self) -> None:
+        """Publish the VM list as it is now."""
+        rows = [
+            {
+                'name': name,
+                'role': role,
+                'data_centre': site,
+                'address': f'{host}:7001',
+                'state': 'leaving' if name in self.leaving else 'live',
+            }
+            for name, (role, site, host) in self.vms.items()
+        ]
+        self.platform.publish('vms', json.dumps(rows).encode())
+
+    def add_upstream(self, name: str) -> None:
+        """Add an upstream to the tree and the VM list."""
+        service, site, _ = name.split('/')
+        slots = next(plan.slots for plan in self.plan.services if plan.name == service)
+        host = f'10.0.1.{len(self.upstreams) + 1}'
+        self.upstreams[name] = FakeUpstream(name, slots, COLD_SECONDS)
+        self.sections[f'upstream {name}'] = {'address': f'{host}:7001'}
+        self.vms[name] = ('agent', site, host)
+
+    def running(self, names: Sequence[str] | None = None) -> Sequence[Process]:
+        """Return the processes that run and are not paused."""
+        return [
+            process
+            for process in self.processes.values()
+            if process.host.alive and not process.host.frozen
+            and (names is None or process.host.name in names)
+        ]
+
+    def versions(self) -> Mapping[str, int]:
+        """Return the settings version in force at each running process."""
+        return {
+            process.host.name: process.node.stores.settings.current.version
+            for process in self.running()
+        }
+
+    def _plan_sections(self) -> None:
+        self.sections['defaults'] = {'ramp': f'{int(COLD_SECONDS) + 1}s', 'timeout': '5s'}
+        for site in self.plan.sites:
+            self.sections[f'data-centre {site}'] = {}
+        for service in self.plan.services:
+            self.sections[f'service {service.name}'] = {
+                'address': f'{service.host}:{service.port}',
+                'slots': str(service.slots),
+            }
+            for number, site in enumerate(service.sites, start=1):
+                self.add_upstream(f'{service.name}/{site}/{number}')
+        for number in range(1, self.entry_count + 1):
+            site = self.plan.sites[(number - 1) % len(self.plan.sites)]
+            self.vms[f'entry-{number}'] = ('entry', site, f'10.0.0.{number}')
--- /dev/null
+++ b/tests/harness/loop.py
@@ -0,0 +1,63 @@
+"""An event loop whose time passes at once."""
+
+import asyncio
+import selectors
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class _InstantSelector(selectors.SelectSelector):
+    """Moves the loop's time on instead of waiting."""
+
+    loop: 'VirtualLoop'
+
+    def select(self, timeout: float | None = None) -> Any:
+        """Return what is ready now."""
+        if timeout is None:
+            raise RuntimeError('nothing will ever happen again')
+        self.loop.moment += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop that sleeps for no real time."""
+
+    def __init__(self) -> None:
+        """Start at time zero."""
+        selector = _InstantSelector()
+        selector.loop = self
+        self.moment = 0.0
+        super().__init__(selector)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.moment
+
+
+class ProcessClock:
+    """The clock of one process; it stands while the process is frozen."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        """Follow the loop's time."""
+        self._loop = loop
+        self._frozen_at: float | None = None
+
+    def freeze(self) -> None:
+        """Stop the clock as the process sees it."""
+        self._frozen_at = self._loop.time()
+
+    def thaw(self) -> None:
+        """Let the process see the time that has passed."""
+        self._frozen_at = None
+
+    def monotonic(self) -> float:
+        """Return seconds as the process sees them."""
+        if self._frozen_at is not None:
+            return self._frozen_at
+        return self._loop.time()
+
+    def now(self) -> datetime:
+        """Return the wall clock."""
+        return EPOCH + timedelta(seconds=self.monotonic())
--- /dev/null
+++ b/tests/harness/peers.py
@@ -0,0 +1,176 @@
+"""Calls between processes in memory, with cuts and deaths."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Callable, Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from typing import Protocol
+
+from ragwortpost.process import Gossip
+from ragwortpost.process._peers import PeerServing
+from ragwortpost.request import (
+    Answer,
+    Answered,
+    BrokenAnswerError,
+    RefusalReason,
+    Refused,
+    Request,
+    Unknown,
+    UnknownReason,
+)
+from ragwortpost.version import SocketAddress, Upstream
+from ragwortpost.wire.peer_pb2 import ExchangeReply, ExchangeRequest
+from tests.harness.network import Host, Network
+
+CONNECT_SECONDS = 0.5
+
+
+class Peer(Protocol):
+    """What a process offers to others."""
+
+    host: Host
+    gossip: Gossip
+    serving: PeerServing | None
+
+
+@dataclass
+class Traffic:
+    """Gossip between processes."""
+
+    # Bytes sent, by whether they crossed a data centre's border.
+    near_bytes: int = 0
+    far_bytes: int = 0
+    # Exchanges made.
+    exchanges: int = 0
+
+    def note(self, one: Host, other: Host, size: int) -> None:
+        """Count a message."""
+        if one.site == other.site:
+            self.near_bytes += size
+        else:
+            self.far_bytes += size
+
+
+@dataclass
+class PeerNetwork:
+    """Finds processes by their address."""
+
+    # The network whose partitions apply.
+    network: Network
+    # Processes by address.
+    peers: dict[SocketAddress, Peer] = field(default_factory=dict)
+    # Gossip traffic.
+    traffic: Traffic = field(default_factory=Traffic)
+    # Names of agents whose next answer to a peer is lost.
+    lose_answers_of: set[str] = field(default_factory=set)
+
+    def reach(self, sender: Host, address: SocketAddress) -> Peer | None:
+        """Return a process if it can be reached now."""
+        peer = self.peers.get(address)
+        if peer is None or not peer.host.alive or not sender.alive:
+            return None
+        if {peer.host.name, sender.name} & self.network.silenced:
+            return None
+        return peer if self.network.connected(sender, peer.host) else None
+
+
+class MemoryExchange:
+    """The exchange port of one process."""
+
+    def __init__(self, peers: PeerNetwork, host: Host) -> None:
+        """Send from ``host``."""
+        self._peers = peers
+        self._host = host
+
+    async def exchange(
+        self,
+        peer: SocketAddress,
+        request: ExchangeRequest,
+    ) -> ExchangeReply:
+        """Compare versions with a peer."""
+        target = self._peers.reach(self._host, peer)
+        await asyncio.sleep(2 * self._peers.network.delay)
+        if target is None:
+            raise ConnectionRefusedError
+        while target.host.frozen or self._host.frozen:
+            await asyncio.sleep(0.05)
+        reply = target.gossip.answer(request)
+        traffic = self._peers.traffic
+        traffic.exchanges += 1
+        traffic.note(self._host, target.host, request.ByteSize() + reply.ByteSize())
+        return reply
+
+
+class MemoryPeers:
+    """The peer port of one agent."""
+
+    def __init__(
+        self,
+        peers: PeerNetwork,
+        host: Host,
+        note: Callable[[str, int], None],
+    ) -> None:
+        """Call from ``host``; tell ``note`` of free slots."""
+        self._peers = peers
+        self._host = host
+        self._note = note
+
+    async def serve(self, peer: Upstream, request: Request) -> Answer:
+        """Have a peer run a request."""
+        return await self._call(peer, replace(request, handed_off=True))
+
+    async def ask_owner(self, owner: Upstream, request: Request) -> Answer:
+        """Pass a keyed request to its owner."""
+        match await self._call(owner, request):
+            case Refused(RefusalReason.PEER_UNREACHABLE):
+                reason = UnknownReason.OWNER_UNREACHABLE
+                return Unknown(reason, timedelta(seconds=1))
+            case answer:
+                return answer
+
+    async def _call(self, peer: Upstream, request: Request) -> Answer:
+        target = self._peers.reach(self._host, peer.address)
+        if target is None or target.serving is None:
+            await asyncio.sleep(CONNECT_SECONDS)
+            return Refused(RefusalReason.PEER_UNREACHABLE)
+        await asyncio.sleep(self._peers.network.delay)
+        work = asyncio.ensure_future(_serve(target.serving, request))
+        try:
+            while not work.done():
+                await asyncio.wait((work,), timeout=0.02)
+                if self._lost(peer):
+                    return Unknown(UnknownReason.CONNECTION_LOST)
+        finally:
+            work.cancel()
+        await asyncio.sleep(self._peers.network.delay)
+        if peer.name in self._peers.lose_answers_of:
+            self._peers.lose_answers_of.discard(peer.name)
+            return Unknown(UnknownReason.CONNECTION_LOST)
+        self._note(peer.name, target.serving.free_slots())
+        answer: Answer = work.result()
+        if isinstance(answer, Answered):
+            return replace(answer, chunks=self._until_lost(peer, answer.chunks))
+        return answer
+
+    def _lost(self, peer: Upstream) -> bool:
+        return self._peers.reach(self._host, peer.address) is None
+
+    async def _until_lost(
+        self,
+        peer: Upstream,
+        chunks: AsyncGenerator[bytes, None],
+    ) -> AsyncGenerator[bytes, None]:
+        async for chunk in chunks:
+            if self._lost(peer):
+                raise BrokenAnswerError('peer lost')
+            yield chunk
+
+
+async def _serve(serving: PeerServing, request: Request) -> Answer:
+    if request.is_event_stream:
+        answer: Answer = await serving.open_stream(request)
+        return answer
+    return await serving.dispatcher.dispatch(request)
+
+
+Peers = Mapping[SocketAddress, Peer]
--- /dev/null
+++ b/tests/harness/platform.py
@@ -0,0 +1,102 @@
+"""The platform, as each process sees it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from ragwortpost.process import PlatformError
+from ragwortpost.process._platform import WATCH_SECONDS, Published
+from tests.harness.network import Host
+
+READ_SECONDS = 0.005
+
+
+@dataclass
+class Platform:
+    """The documents that operators published, every version of them."""
+
+    # Every version's value, by document.
+    history: dict[str, list[Published]] = field(
+        default_factory=lambda: {
+            'settings': [Published(0, b'')],
+            'vms': [Published(0, b'[]')],
+        },
+    )
+    # Names of processes, data centres or 'all' that can't reach it.
+    down_for: set[str] = field(default_factory=set)
+    # Version that some processes or data centres are stuck at.
+    stuck_at: dict[str, int] = field(default_factory=dict)
+    # Set and replaced at each change of anything.
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    # Calls of all processes, a watch counting as one.
+    calls: int = 0
+
+    def publish(self, document: str, body: bytes, version: int | None = None) -> int:
+        """Publish a value as the next version, or as a given one."""
+        number = self.history[document][-1].version + 1
+        if version is not None:
+            number = version
+        self.history[document].append(Published(number, body))
+        self.stir()
+        return number
+
+    def stir(self) -> None:
+        """Wake all watchers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class PlatformView:
+    """The platform port of one process."""
+
+    def __init__(self, platform: Platform, host: Host) -> None:
+        """Look at ``platform`` from ``host``."""
+        self._platform = platform
+        self._host = host
+        self.calls = 0
+
+    async def read(self, document: str) -> Result[Published | None, PlatformError]:
+        """Return the value as this process sees it."""
+        self.calls += 1
+        self._platform.calls += 1
+        await asyncio.sleep(READ_SECONDS)
+        return await self._look(document)
+
+    async def watch(
+        self,
+        document: str,
+        version: int,
+    ) -> Result[Published | None, PlatformError]:
+        """Return a value of another version, or none after a while."""
+        self.calls += 1
+        self._platform.calls += 1
+        try:
+            async with asyncio.timeout(WATCH_SECONDS):
+                while True:
+                    changed = self._platform.changed
+                    seen = await self._look(document)
+                    if seen.is_err() or seen.unwrap().version != version:
+                        return seen
+                    await changed.wait()
+                    await asyncio.sleep(READ_SECONDS)
+        except TimeoutError:
+            return Ok(None)
+
+    async def _look(self, document: str) -> Result[Published, PlatformError]:
+        while self._host.frozen:
+            await asyncio.sleep(0.05)
+        names = {'all', self._host.name, self._host.site}
+        if names & self._platform.down_for:
+            return Err(PlatformError(document, 'down'))
+        for name, version in self._platform.stuck_at.items():
+            if name in names and document == 'settings':
+                return Ok(self._version(document, version))
+        return Ok(self._platform.history[document][-1])
+
+    def _version(self, document: str, version: int) -> Published:
+        return next(
+            published
+            for published in self._platform.history[document]
+            if published.version == version
+        )
--- /dev/null
+++ b/tests/scenarios/leaving.feature
@@ -0,0 +1,53 @@
+Feature: A leaving upstream gets no new work and a planned stop cuts nothing
+
+  Scenario: Leaving in the VM list only
+    Given a Cedarline fleet
+    And 8 event streams on badge-desk
+    And 10 posters on badge-desk every 0.1s
+    When 3s pass
+    And the VM list says badge-desk/hall-north/1 is leaving
+    And 8s pass
+    Then upstream badge-desk/hall-north/1 got no new work in the last 3s
+    When the callers finish
+    Then no flow broke
+    And no request ran twice
+
+  Scenario: Leaving in the settings while half the peers are stale
+    Given a Cedarline fleet
+    And 8 event streams on badge-desk
+    And 10 posters on badge-desk every 0.1s
+    When 3s pass
+    And control of entry-1, badge-desk/hall-south/3, badge-desk/hall-south/4 is cut off
+    And operators set state of upstream badge-desk/hall-north/1 to leaving
+    And 8s pass
+    Then upstream badge-desk/hall-north/1 got no new work in the last 3s
+    When the callers finish
+    Then no flow broke
+    And no request ran twice
+
+  Scenario: An agent is stopped gracefully during slow answers
+    Given a Cedarline fleet
+    And upstreams take 0.8s a request
+    And 14 posters on badge-desk every 0.3s
+    When 3s pass
+    And process badge-desk/hall-north/1 is stopped gracefully
+    And process badge-desk/hall-south/3 is stopped gracefully
+    And 6s pass
+    And the callers finish
+    Then no outcome stayed unknown
+    And no request ran twice
+    And every refusal and answer was true
+
+  @ours_only
+  Scenario: An entry is stopped gracefully
+    Given a Cedarline fleet
+    And upstreams take 0.5s a request
+    And 8 event streams on badge-desk
+    And 8 posters on badge-desk every 0.2s
+    When 3s pass
+    And process entry-1 is stopped gracefully
+    And 4s pass
+    And the callers finish
+    Then no flow broke
+    And no outcome stayed unknown
+    And no request ran twice
--- /dev/null
+++ b/tests/scenarios/services.feature
@@ -0,0 +1,33 @@
+Feature: Packets reach the right service only
+
+  Scenario: An upstream's address goes to another service while entries are stale
+    Given a Cedarline fleet
+    And 12 event streams on badge-desk
+    And 4 posters on badge-desk every 0.2s
+    And 4 posters on layout every 0.2s
+    When 2s pass
+    And control of entry-1, entry-2 is cut off
+    And upstream badge-desk/hall-north/1 is replaced by layout/hall-north/5 at its address
+    And 4s pass
+    And the cuts heal
+    And 2s pass
+    And the callers finish
+    Then no request reached another service
+    And every answer was whole and the caller's own
+    And no request ran twice
+    And every refusal and answer was true
+    And the last change is in force everywhere
+
+  Scenario: An entry wakes with an old view after an address went to another service
+    Given a Cedarline fleet
+    And 6 posters on badge-desk every 0.1s
+    And 6 posters on layout every 0.1s
+    When 2s pass
+    And process entry-1 freezes
+    And upstream badge-desk/hall-north/1 is replaced by layout/hall-north/5 at its address
+    And 5s pass
+    And process entry-1 wakes
+    And 2s pass
+    And the callers finish
+    Then no request reached another service
+    And the last change is in force everywhere
