--- a/src/ragwortpost/connection/__init__.py
+++ b/src/ragwortpost/connection/__init__.py
@@ -16,6 +16,7 @@
 from ragwortpost.connection._flow import (
     DatagramSender,
     Flow,
+    Listening,
     RequestServer,
     Response,
 )
@@ -51,6 +52,7 @@
     'Flow',
     'Forward',
     'HostPort',
+    'Listening',
     'PacketHeader',
     'Reply',
     'RequestServer',
--- a/src/ragwortpost/connection/_exchange.py
+++ b/src/ragwortpost/connection/_exchange.py
@@ -20,6 +20,8 @@
     headers: Headers
     # The body so far.
     body: bytearray = field(default_factory=bytearray)
+    # Whether another agent began to answer it.
+    resumed: bool = False
     # Whether the body grew beyond the limit.
     oversized: bool = False
 
--- a/src/ragwortpost/connection/_flow.py
+++ b/src/ragwortpost/connection/_flow.py
@@ -6,13 +6,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Sequence
 from contextlib import AsyncExitStack, aclosing
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final, Protocol, TypeAlias
 
 from absl import logging
-from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
+from aioquic.h3.connection import H3_ALPN, ErrorCode
 from aioquic.h3.events import H3Event
 from aioquic.h3.exceptions import H3Error
 from aioquic.quic.events import (
@@ -26,12 +26,19 @@
 from ragwortpost._clock import Clock
 from ragwortpost.connection._envelope import HostPort
 from ragwortpost.connection._exchange import Exchange, Exchanges
+from ragwortpost.connection._http3 import StaticHttp
+from ragwortpost.connection._moved import give_state, is_quiet, take_state
 from ragwortpost.connection._quic import RoutedQuicConnection
-from ragwortpost.request import Headers
+from ragwortpost.request import LAST_EVENT_ID, Headers
+from ragwortpost.wire.peer_pb2 import Header, MovedFlow, OpenEvents
 
 MAX_UNSENT_BYTES: Final = 262144
 MAX_INBOX: Final = 256
 _SEND_POLL: Final = 0.01
+# The control, encoder and decoder streams that a server opens.
+_OWN_STREAMS: Final = (3, 7, 11)
+
+ResetToken: TypeAlias = Callable[[bytes], bytes]
 
 
 @dataclass(frozen=True)
@@ -46,6 +53,24 @@
     chunks: AsyncGenerator[bytes, None]
 
 
+class EventProgress(Protocol):
+    """How far an event stream has got."""
+
+    @property
+    def delivered_id(self) -> bytes:
+        """The id of the last event that was written to the caller."""
+
+
+@dataclass(frozen=True)
+class Listening:
+    """An event stream that a caller listens to."""
+
+    # The request as it arrived, pseudo-headers included.
+    headers: Headers
+    # How far it has got.
+    progress: EventProgress
+
+
 class RequestServer(Protocol):
     """What serves the requests of a connection."""
 
@@ -75,14 +100,18 @@
         self._connection = connection
         self._sender = sender
         self._server = server
-        self._http: H3Connection | None = None
+        self._http: StaticHttp | None = None
         self._inbox: deque[tuple[bytes, HostPort]] = deque(maxlen=MAX_INBOX)
         self._wakeup = asyncio.Event()
         self._exchanges = Exchanges()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
+        self._held = False
         self._ended = False
+        self._resumed: list[Exchange] = []
+        # Event streams that the caller listens to, by QUIC stream.
+        self.listening: dict[int, Listening] = {}
         # The entry that the last datagram came through.
         self.entry: HostPort = ('', 0)
 
@@ -126,14 +155,24 @@
             await self._drive(group)
             self._cancel_requests()
 
-    async def respond(self, stream_id: int, response: Response) -> None:
-        """Write an answer to a stream, piece by piece as the caller reads."""
+    async def respond(
+        self,
+        stream_id: int,
+        response: Response,
+        *,
+        resumed: bool = False,
+    ) -> None:
+        """Write an answer to a stream, piece by piece as the caller reads.
+
+        The head of a resumed answer was written by another agent.
+        """
         http = self._http
         if http is None or self._ended:
             return
-        status = (b':status', str(response.status).encode())
-        http.send_headers(stream_id, [status, *response.headers])
-        self._wakeup.set()
+        if not resumed:
+            status = (b':status', str(response.status).encode())
+            http.send_headers(stream_id, [status, *response.headers])
+            self._wakeup.set()
         async with aclosing(response.chunks) as chunks:
             async for chunk in chunks:
                 await self._writable(stream_id)
@@ -142,14 +181,73 @@
         http.send_data(stream_id, b'', end_stream=True)
         self._wakeup.set()
 
+    async def take(self, limit: float) -> MovedFlow | None:
+        """Stop a flow that only listens and return its state.
+
+        Returns none if requests run or it does not fall quiet by ``limit``,
+        in seconds of the monotonic clock.
+        """
+        http = self._http
+        if http is None or self._tasks.keys() - self.listening.keys():
+            return None
+        listening = dict(self.listening)
+        self._cancel_requests()
+        while not (is_quiet(self._connection) and http.is_between_frames):
+            if self._clock.monotonic() > limit or self._ended:
+                return None
+            await asyncio.sleep(_SEND_POLL)
+        caller_streams = http.caller_streams
+        if caller_streams is None:
+            return None
+        self._held = True
+        state = take_state(self._connection)
+        state.http_streams.extend(caller_streams)
+        state.events.extend(
+            OpenEvents(
+                stream_id=stream_id,
+                headers=[
+                    Header(name=name, value=text)
+                    for name, text in found.headers
+                ],
+                last_event_id=found.progress.delivered_id,
+            )
+            for stream_id, found in listening.items()
+        )
+        return state
+
+    def give(self, state: MovedFlow, reset_token: ResetToken) -> None:
+        """Go on where another agent left off; call it before :meth:`run`."""
+        now = self._clock.monotonic()
+        give_state(self._connection, state, now, reset_token)
+        requests = [events.stream_id for events in state.events]
+        self._http = StaticHttp(self._connection, adopted=True)
+        self._http.adopt(state.http_streams, _OWN_STREAMS, requests)
+        self._resumed = [_resumed(events) for events in state.events]
+        self._wakeup.set()
+
+    def release(self) -> None:
+        """Go on here after all, since nobody took the state."""
+        self._held = False
+        self._wakeup.set()
+
+    def let_go(self) -> Sequence[tuple[bytes, HostPort]]:
+        """End a flow that lives on elsewhere; return what came in since."""
+        self._ended = True
+        self._wakeup.set()
+        return tuple(self._inbox)
+
     async def _writable(self, stream_id: int) -> None:
         while self._connection.unsent_bytes(stream_id) > MAX_UNSENT_BYTES:
             await asyncio.sleep(_SEND_POLL)
 
     async def _drive(self, group: asyncio.TaskGroup) -> None:
+        for exchange in self._resumed:
+            self._start_request(exchange, group)
         while not self._ended:
             await self._wakeup.wait()
             self._wakeup.clear()
+            if self._held:
+                continue
             now = self._clock.monotonic()
             self._take_in(now)
             self._handle_events(group)
@@ -194,7 +292,7 @@
     ) -> None:
         match event:
             case ProtocolNegotiated(alpn_protocol=alpn) if alpn in H3_ALPN:
-                self._http = H3Connection(self._connection)
+                self._http = StaticHttp(self._connection)
             case ConnectionTerminated():
                 self._ended = True
             case StreamReset(stream_id=stream_id):
@@ -249,3 +347,14 @@
     def _cancel_requests(self) -> None:
         for task in tuple(self._tasks.values()):
             task.cancel()
+
+
+def _resumed(events: OpenEvents) -> Exchange:
+    headers = [
+        (header.name, header.value)
+        for header in events.headers
+        if header.name != LAST_EVENT_ID
+    ]
+    if events.last_event_id:
+        headers.append((LAST_EVENT_ID, events.last_event_id))
+    return Exchange(events.stream_id, headers, resumed=True)
--- /dev/null
+++ b/src/ragwortpost/connection/_http3.py
@@ -0,0 +1,109 @@
+"""HTTP/3 without a dynamic header table, so that a connection can be moved.
+
+The state of QPACK's dynamic table can't be read from the library. Offering a
+table of size zero keeps both directions on the static one.
+"""
+
+from collections.abc import Sequence
+
+from aioquic.h3.connection import (
+    H3Connection,
+    H3Stream,
+    HeadersState,
+    Setting,
+    StreamType,
+)
+from aioquic.quic.connection import QuicConnection
+from pylsqpack import Encoder
+
+from ragwortpost.request import Headers
+
+
+class _StaticEncoder:
+    """An encoder that never uses the table that a caller offers."""
+
+    def __init__(self) -> None:
+        self._encoder = Encoder()
+
+    def apply_settings(
+        self,
+        max_table_capacity: int,
+        blocked_streams: int,
+    ) -> bytes:
+        return self._encoder.apply_settings(0, 0)
+
+    def encode(self, stream_id: int, headers: Headers) -> tuple[bytes, bytes]:
+        return self._encoder.encode(stream_id, list(headers))
+
+    def feed_decoder(self, received: bytes) -> None:
+        self._encoder.feed_decoder(received)
+
+
+class StaticHttp(H3Connection):
+    """A server's HTTP/3 connection on the static header table."""
+
+    def __init__(self, quic: QuicConnection, *, adopted: bool = False) -> None:
+        """Open the connection, or prepare one that another agent opened."""
+        self._adopted = adopted
+        super().__init__(quic)
+        self._encoder = _StaticEncoder()  # type: ignore[assignment]
+
+    @property
+    def caller_streams(self) -> Sequence[int] | None:
+        """The caller's control, encoder and decoder streams, once all open."""
+        streams = (
+            self._peer_control_stream_id,
+            self._peer_encoder_stream_id,
+            self._peer_decoder_stream_id,
+        )
+        found = [stream for stream in streams if stream is not None]
+        return found if len(found) == len(streams) else None
+
+    @property
+    def is_between_frames(self) -> bool:
+        """Whether no stream holds a part of a frame."""
+        return not any(
+            stream.buffer or stream.blocked for stream in self._stream.values()
+        )
+
+    def adopt(
+        self,
+        caller_streams: Sequence[int],
+        own_streams: Sequence[int],
+        open_requests: Sequence[int],
+    ) -> None:
+        """Go on where the agent before left off."""
+        kinds = (
+            StreamType.CONTROL,
+            StreamType.QPACK_ENCODER,
+            StreamType.QPACK_DECODER,
+        )
+        for stream_id, kind in zip(caller_streams, kinds, strict=True):
+            self._stream[stream_id] = H3Stream(stream_id)
+            self._stream[stream_id].stream_type = kind
+        control, encoder, decoder = caller_streams
+        self._peer_control_stream_id = control
+        self._peer_encoder_stream_id = encoder
+        self._peer_decoder_stream_id = decoder
+        control, encoder, decoder = own_streams
+        self._local_control_stream_id = control
+        self._local_encoder_stream_id = encoder
+        self._local_decoder_stream_id = decoder
+        self._settings_received = True
+        self._received_settings = {}
+        for request in open_requests:
+            stream = H3Stream(request)
+            stream.headers_recv_state = HeadersState.AFTER_HEADERS
+            stream.headers_send_state = HeadersState.AFTER_HEADERS
+            stream.receiving_ended = True
+            self._stream[request] = stream
+
+    def _get_local_settings(self) -> dict[int, int]:
+        settings: dict[int, int] = super()._get_local_settings()
+        settings[Setting.QPACK_MAX_TABLE_CAPACITY] = 0
+        settings[Setting.QPACK_BLOCKED_STREAMS] = 0
+        return settings
+
+    def _init_connection(self) -> None:
+        if not self._adopted:
+            super()._init_connection()
--- /dev/null
+++ b/src/ragwortpost/connection/_moved.py
@@ -0,0 +1,286 @@
+"""Takes the state of a quiet QUIC connection and makes it live elsewhere.
+
+Only a quiet connection is moved: all that was sent is acknowledged, all that
+was received was read, and the keys were never updated. That leaves the two
+traffic secrets, packet numbers, connection ids, offsets and limits.
+"""
+
+from collections.abc import Callable, Sequence
+from ipaddress import IPv4Address
+
+from aioquic import tls
+from aioquic.quic.connection import (
+    Limit,
+    QuicConnectionId,
+    QuicConnectionState,
+    QuicNetworkPath,
+)
+from aioquic.quic.crypto import CryptoContext
+from aioquic.quic.stream import QuicStream
+
+from ragwortpost.connection._quic import RoutedQuicConnection
+from ragwortpost.wire.peer_pb2 import (
+    Allowance,
+    ConnectionId,
+    Grant,
+    MovedFlow,
+    Protection,
+    Span,
+    StreamState,
+)
+
+_SERVER_BIT = 1
+_UNIDIRECTIONAL_BIT = 2
+
+
+def is_quiet(connection: RoutedQuicConnection) -> bool:
+    """Whether nothing is under way in either direction."""
+    keys = connection._cryptos.get(tls.Epoch.ONE_RTT)
+    if keys is None or not connection._handshake_confirmed:
+        return False
+    if connection._state is not QuicConnectionState.CONNECTED:
+        return False
+    if keys.recv.key_phase or keys.send.key_phase:
+        return False
+    if connection._loss.bytes_in_flight:
+        return False
+    return all(_is_settled(stream) for stream in connection._streams.values())
+
+
+def take_state(connection: RoutedQuicConnection) -> MovedFlow:
+    """Return the transport state of a quiet connection."""
+    keys = connection._cryptos[tls.Epoch.ONE_RTT]
+    space = connection._spaces[tls.Epoch.ONE_RTT]
+    host, port = connection._network_paths[0].addr[:2]
+    return MovedFlow(
+        caller_host=IPv4Address(host).packed,
+        caller_port=port,
+        version=connection._version,
+        sending=_protection(keys.send),
+        receiving=_protection(keys.recv),
+        next_packet_number=connection._packet_number,
+        expected_packet_number=space.expected_packet_number,
+        largest_acked=space.largest_acked_packet,
+        received=[
+            Span(start=span.start, stop=span.stop) for span in space.ack_queue
+        ],
+        own_ids=[_write_id(found) for found in connection._host_cids],
+        next_own_sequence=connection._host_cid_seq,
+        caller_id=_write_id(connection._peer_cid),
+        spare_caller_ids=[
+            _write_id(found) for found in connection._peer_cid_available
+        ],
+        caller_retire_prior_to=connection._peer_retire_prior_to,
+        allowance=_allowance(connection),
+        data=_grant(connection._local_max_data),
+        streams_bidi=_grant(connection._local_max_streams_bidi),
+        streams_uni=_grant(connection._local_max_streams_uni),
+        next_bidi=connection._local_next_stream_id_bidi,
+        next_uni=connection._local_next_stream_id_uni,
+        streams=[
+            _write_stream(stream) for stream in connection._streams.values()
+        ],
+    )
+
+
+def give_state(
+    connection: RoutedQuicConnection,
+    state: MovedFlow,
+    now: float,
+    reset_token: Callable[[bytes], bytes],
+) -> None:
+    """Make a fresh connection go on from a state taken elsewhere.
+
+    The caller is given connection ids that this connection issues and told to
+    retire the earlier ones.
+    """
+    connection._version = state.version
+    connection._initialize(state.own_ids[0].value)
+    connection._discard_epoch(tls.Epoch.INITIAL)
+    connection._discard_epoch(tls.Epoch.HANDSHAKE)
+    keys = connection._cryptos[tls.Epoch.ONE_RTT]
+    _set_keys(keys.send, state.sending)
+    _set_keys(keys.recv, state.receiving)
+    connection._handshake_complete = True
+    connection._handshake_confirmed = True
+    connection._loss.handshake_confirmed = True
+    connection._loss.peer_completed_address_validation = True
+    connection._state = QuicConnectionState.CONNECTED
+    _give_numbers(connection, state)
+    _give_ids(connection, state, reset_token)
+    _give_limits(connection, state)
+    _give_streams(connection, state.streams)
+    host = str(IPv4Address(state.caller_host))
+    path = QuicNetworkPath((host, state.caller_port), is_validated=True)
+    connection._network_paths = [path]
+    connection._close_at = now + connection.configuration.idle_timeout
+    connection.retire_earlier_ids()
+
+
+def _is_settled(stream: QuicStream) -> bool:
+    sender, receiver = stream.sender, stream.receiver
+    if sender._buffer or len(sender._pending) or sender.reset_pending:
+        return False
+    if sender._buffer_fin is not None and not sender.is_finished:
+        return False
+    return not receiver._buffer and not receiver.stop_pending
+
+
+def _protection(context: CryptoContext) -> Protection:
+    return Protection(
+        secret=context.secret,
+        cipher_suite=context.cipher_suite,
+        version=context.version,
+        key_phase=context.key_phase,
+    )
+
+
+def _set_keys(context: CryptoContext, protection: Protection) -> None:
+    context.setup(
+        cipher_suite=tls.CipherSuite(protection.cipher_suite),
+        secret=protection.secret,
+        version=protection.version,
+    )
+
+
+def _write_id(found: QuicConnectionId) -> ConnectionId:
+    return ConnectionId(
+        value=found.cid,
+        sequence_number=found.sequence_number or 0,
+        reset_token=found.stateless_reset_token or b'',
+    )
+
+
+def _read_id(found: ConnectionId) -> QuicConnectionId:
+    return QuicConnectionId(
+        cid=found.value,
+        sequence_number=found.sequence_number,
+        stateless_reset_token=found.reset_token,
+        was_sent=True,
+    )
+
+
+def _grant(limit: Limit) -> Grant:
+    return Grant(value=limit.value, sent=limit.sent, used=limit.used)
+
+
+def _give_grant(limit: Limit, grant: Grant) -> None:
+    limit.value = grant.value
+    limit.sent = grant.sent
+    limit.used = grant.used
+
+
+def _allowance(connection: RoutedQuicConnection) -> Allowance:
+    return Allowance(
+        ack_delay_exponent=connection._remote_ack_delay_exponent,
+        active_ids=connection._remote_active_connection_id_limit,
+        idle_seconds=connection._remote_max_idle_timeout or 0,
+        data=connection._remote_max_data,
+        data_used=connection._remote_max_data_used,
+        stream_data_bidi_local=connection._remote_max_stream_data_bidi_local,
+        stream_data_bidi_remote=connection._remote_max_stream_data_bidi_remote,
+        stream_data_uni=connection._remote_max_stream_data_uni,
+        streams_bidi=connection._remote_max_streams_bidi,
+        streams_uni=connection._remote_max_streams_uni,
+    )
+
+
+def _write_stream(stream: QuicStream) -> StreamState:
+    return StreamState(
+        stream_id=stream.stream_id,
+        sent_offset=stream.sender._buffer_stop,
+        received_offset=stream.receiver._buffer_start,
+        receiving_ended=stream.receiver.is_finished,
+        granted=stream.max_stream_data_local,
+        granted_sent=stream.max_stream_data_local_sent,
+        allowed=stream.max_stream_data_remote,
+    )
+
+
+def _give_numbers(connection: RoutedQuicConnection, state: MovedFlow) -> None:
+    connection._packet_number = state.next_packet_number
+    space = connection._spaces[tls.Epoch.ONE_RTT]
+    space.expected_packet_number = state.expected_packet_number
+    space.largest_acked_packet = state.largest_acked
+    for span in state.received:
+        space.ack_queue.add(span.start, span.stop)
+        space.largest_received_packet = span.stop - 1
+    # Lower numbers were received too, or are as good as lost.
+    space.received_packets._lower = state.expected_packet_number
+
+
+def _give_ids(
+    connection: RoutedQuicConnection,
+    state: MovedFlow,
+    reset_token: Callable[[bytes], bytes],
+) -> None:
+    connection._host_cids = [
+        QuicConnectionId(
+            cid=found.value,
+            sequence_number=found.sequence_number,
+            stateless_reset_token=reset_token(found.value),
+            was_sent=True,
+        )
+        for found in state.own_ids
+    ]
+    connection.host_cid = connection._host_cids[0].cid
+    connection._host_cid_seq = state.next_own_sequence
+    connection._peer_cid = _read_id(state.caller_id)
+    connection._peer_cid_available = [
+        _read_id(found) for found in state.spare_caller_ids
+    ]
+    connection._peer_cid_sequence_numbers = {
+        found.sequence_number
+        for found in (state.caller_id, *state.spare_caller_ids)
+    }
+    connection._peer_retire_prior_to = state.caller_retire_prior_to
+
+
+def _give_limits(connection: RoutedQuicConnection, state: MovedFlow) -> None:
+    allowance = state.allowance
+    connection._remote_ack_delay_exponent = allowance.ack_delay_exponent
+    connection._remote_active_connection_id_limit = allowance.active_ids
+    connection._remote_max_idle_timeout = allowance.idle_seconds or None
+    connection._remote_max_data = allowance.data
+    connection._remote_max_data_used = allowance.data_used
+    connection._remote_max_stream_data_bidi_local = (
+        allowance.stream_data_bidi_local
+    )
+    connection._remote_max_stream_data_bidi_remote = (
+        allowance.stream_data_bidi_remote
+    )
+    connection._remote_max_stream_data_uni = allowance.stream_data_uni
+    connection._remote_max_streams_bidi = allowance.streams_bidi
+    connection._remote_max_streams_uni = allowance.streams_uni
+    _give_grant(connection._local_max_data, state.data)
+    _give_grant(connection._local_max_streams_bidi, state.streams_bidi)
+    _give_grant(connection._local_max_streams_uni, state.streams_uni)
+    connection._local_next_stream_id_bidi = state.next_bidi
+    connection._local_next_stream_id_uni = state.next_uni
+
+
+def _give_streams(
+    connection: RoutedQuicConnection,
+    states: Sequence[StreamState],
+) -> None:
+    for state in states:
+        is_uni = bool(state.stream_id & _UNIDIRECTIONAL_BIT)
+        is_own = bool(state.stream_id & _SERVER_BIT)
+        stream = QuicStream(
+            stream_id=state.stream_id,
+            max_stream_data_local=state.granted,
+            max_stream_data_remote=state.allowed,
+            readable=not (is_uni and is_own),
+            writable=not (is_uni and not is_own),
+        )
+        stream.max_stream_data_local_sent = state.granted_sent
+        stream.sender._buffer_start = state.sent_offset
+        stream.sender._buffer_stop = state.sent_offset
+        stream.sender.highest_offset = state.sent_offset
+        stream.receiver._buffer_start = state.received_offset
+        stream.receiver.highest_offset = state.received_offset
+        if state.receiving_ended:
+            stream.receiver._final_size = state.received_offset
+            stream.receiver.is_finished = True
+        connection._streams[state.stream_id] = stream
+        connection._streams_queue.append(stream)
--- a/src/ragwortpost/connection/_quic.py
+++ b/src/ragwortpost/connection/_quic.py
@@ -9,8 +9,12 @@
 
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet_builder import QuicPacketBuilder
 
 MAX_ACTIVE_IDS = 4
+NEW_IDS = 2
+_ID_FRAME_BYTES = 64
 
 
 class RoutedQuicConnection(QuicConnection):
@@ -29,6 +33,7 @@
             original_destination_connection_id=original_destination,
         )
         self._issue_id = issue_id
+        self._retire_prior_to = 0
         self._reset_token = reset_token
         first = self._next_id(sequence_number=0)
         first.was_sent = True
@@ -48,6 +53,31 @@
         """Probe timeouts since the caller last acknowledged anything."""
         return self._loss._pto_count  # noqa: SLF001, WPS437
 
+    def retire_earlier_ids(self) -> None:
+        """Issue new ids and ask the caller to retire all earlier ones."""
+        self._retire_prior_to = self._host_cid_seq
+        for _ in range(NEW_IDS):
+            self._host_cids.append(self._next_id(self._host_cid_seq))
+            self._host_cid_seq += 1
+
+    def _write_new_connection_id_frame(
+        self,
+        builder: QuicPacketBuilder,
+        connection_id: QuicConnectionId,
+    ) -> None:
+        frame = builder.start_frame(
+            QuicFrameType.NEW_CONNECTION_ID,
+            capacity=_ID_FRAME_BYTES,
+            handler=self._on_new_connection_id_delivery,
+            handler_args=(connection_id,),
+        )
+        frame.push_uint_var(connection_id.sequence_number)
+        frame.push_uint_var(self._retire_prior_to)
+        frame.push_uint8(len(connection_id.cid))
+        frame.push_bytes(connection_id.cid)
+        frame.push_bytes(connection_id.stateless_reset_token)
+        connection_id.was_sent = True
+
     def _replenish_connection_ids(self) -> None:
         limit = min(MAX_ACTIVE_IDS, self._remote_active_connection_id_limit)
         while len(self._host_cids) < limit:
--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -5,7 +5,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Final
+from typing import Final, Protocol
 
 from absl import logging
 from aioquic.h3.connection import H3_ALPN
@@ -25,6 +25,7 @@
 from ragwortpost.process._http import HttpHandler
 from ragwortpost.process._intake import Intake, IntakePorts
 from ragwortpost.process._lifecycle import UpstreamLifecycle, UpstreamState
+from ragwortpost.process._mover import Mover
 from ragwortpost.process._node import Node
 from ragwortpost.process._passed_on import PassedOn
 from ragwortpost.process._peers import PeerServing, load_of
@@ -46,9 +47,10 @@
     AdminState,
     Fleet,
     Policy,
+    Upstream,
     short_id,
 )
-from ragwortpost.wire.peer_pb2 import Load
+from ragwortpost.wire.peer_pb2 import Load, MovedFlow
 
 CLOSE_WAYS: Final = 3
 KEY_LEASE: Final = timedelta(minutes=10)
@@ -57,6 +59,13 @@
 _DRAIN_POLL: Final = 0.05
 
 
+class AgentPeerPort(PeerPort, Protocol):
+    """The other agents, for requests and for flows."""
+
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
+        """Offer a flow to a peer; return whether it went on with it."""
+
+
 @dataclass(frozen=True)
 class AgentPorts:
     """What an agent reaches the world through."""
@@ -64,7 +73,7 @@
     # Opens datagram sockets.
     datagrams: DatagramPort
     # Connects to the other agents, given where their load is noted.
-    peers: Callable[[PeerChoice], PeerPort]
+    peers: Callable[[PeerChoice], AgentPeerPort]
     # Connects to the upstream, given where its life is noted.
     upstream: Callable[[UpstreamLifecycle], UpstreamPort]
     # Returns random bytes.
@@ -115,6 +124,7 @@
             self._dispatcher,
             self._streams.open_here,
             lambda: self._slots.free,
+            self._adopt,
         )
 
     async def until_awake(self) -> None:
@@ -139,6 +149,7 @@
         self._dispatcher.apply(fleet)
         self._streams.apply(fleet)
         self._intake.apply(fleet)
+        self._mover.apply(fleet)
         own = fleet.snapshot.upstreams.get(self._ident)
         if own is None or not fleet.takes_new(own):
             self._leave()
@@ -162,6 +173,7 @@
                     await asyncio.sleep(_DRAIN_POLL)
         except TimeoutError:
             logging.warning('event=drain_timeout running=%d', self._busy())
+        await self._mover.move_all(self._forward_rest)
         await self._flows.close('leaving')
 
     def send(self, flow: Flow, caller: HostPort, datagram: bytes) -> None:
@@ -187,6 +199,7 @@
             'opened': counters.opened,
             'refused': counters.refused,
             'passed_on': counters.passed_on,
+            'moved': self._mover.counters.moved,
             **{
                 f'dropped.{reason.value}': count
                 for reason, count in counters.dropped.items()
@@ -200,9 +213,10 @@
     def _prepare_requests(self, reach: AgentPorts) -> None:
         node = self._node
         self._choice = PeerChoice(node.clock, node.rng)
+        self._peer_port = reach.peers(self._choice)
         ports = Ports(
             reach.upstream(self._lifecycle),
-            reach.peers(self._choice),
+            self._peer_port,
             self,
         )
         number = int.from_bytes(reach.random_bytes(_INCARNATION_BYTES))
@@ -218,7 +232,7 @@
             node.clock,
             self._name.partition('/')[0],
             self._dispatcher,
-            self._streams.serve,
+            self._streams.open,
             lambda: self._slots.policy,
         )
 
@@ -237,12 +251,20 @@
             tls,
             reach.random_bytes,
         )
+        self._mover = Mover(
+            node.clock,
+            self._ident,
+            self._name.partition('/')[0],
+            self._flows,
+            self._peer_port.adopt,
+        )
         ports = IntakePorts(
             send=self._send_to,
             open_flow=self._open_flow,
             has_room=self._has_room,
             heard=self._entries.heard,
             is_awake=node.pause.check,
+            successor_of=self._mover.successor_of,
             random_bytes=reach.random_bytes,
         )
         passed_on = PassedOn(node.clock)
@@ -255,6 +277,20 @@
     def _open_flow(self, original_destination: bytes) -> Flow:
         return self._flows.open(original_destination, self, self._http)
 
+    def _adopt(self, state: MovedFlow) -> bool:
+        if state.service != self._name.partition('/')[0]:
+            return False
+        if not self._has_room():
+            return False
+        flow = self._flows.adopt(state, self, self._http)
+        live = self._live_entries
+        flow.entry = self._node.rng.choice(live) if live else ('', 0)
+        return True
+
+    def _forward_rest(self, flow: Flow, successor: Upstream) -> None:
+        for datagram, caller in flow.let_go():
+            self._intake.pass_rest(successor, flow.entry, caller, datagram)
+
     def _has_room(self) -> bool:
         if not self.takes_work:
             return False
--- a/src/ragwortpost/process/_entry_choice.py
+++ b/src/ragwortpost/process/_entry_choice.py
@@ -25,6 +25,7 @@
         self._rng = rng
         self._heard: dict[HostPort, float] = {}
         self._latest = clock.monotonic()
+        self._turn = 0
 
     def heard(self, entry: HostPort) -> None:
         """Note that a datagram came through an entry."""
@@ -43,20 +44,21 @@
         """Return the entry to answer through.
 
         ``last`` is the entry of the caller's last packet, ``live`` what the
-        VM list says, ``attempt`` counts the answers that went unacknowledged
-        since: they go through one entry after another, so that a few dead
-        ones can't swallow them all.
+        VM list says, ``attempt`` counts the probes that went unacknowledged
+        since. While there are any, answers go through one entry after
+        another, silent or not, so that a dead one can't swallow them all:
+        few entries are heard from often enough to tell.
         """
-        if attempt == 0 and not self._is_silent(last):
+        if attempt:
+            return self._next_in_turn(live) or last
+        if not self._is_silent(last):
             return last
         talking = [entry for entry in live if not self._is_silent(entry)]
-        others = [entry for entry in talking if entry != last]
-        candidates = others or talking or live
-        if not candidates:
-            return last
-        if attempt == 0:
-            return self._rng.choice(candidates)
-        return candidates[attempt % len(candidates)]
+        return self._rng.choice(talking) if talking else last
+
+    def _next_in_turn(self, live: Sequence[HostPort]) -> HostPort | None:
+        self._turn += 1
+        return live[self._turn % len(live)] if live else None
 
     def _is_silent(self, entry: HostPort) -> bool:
         heard = self._heard.get(entry)
--- a/src/ragwortpost/process/_flows.py
+++ b/src/ragwortpost/process/_flows.py
@@ -15,6 +15,7 @@
     RoutedQuicConnection,
 )
 from ragwortpost.version import ShortId
+from ragwortpost.wire.peer_pb2 import MovedFlow
 
 _NONCE_BYTES: Final = 7
 
@@ -96,6 +97,34 @@
         server: RequestServer,
     ) -> Flow:
         """Start a connection for a caller's first packet."""
+        flow = self._prepare(original_destination, sender, server)
+        self._start(flow)
+        return flow
+
+    def adopt(
+        self,
+        state: MovedFlow,
+        sender: DatagramSender,
+        server: RequestServer,
+    ) -> Flow:
+        """Go on with a connection that another agent gave away."""
+        flow = self._prepare(state.own_ids[0].value, sender, server)
+        for known in state.own_ids[1:]:
+            self._flows[flow].add(known.value)
+        flow.give(state, self._ids.reset_token)
+        self._start(flow)
+        return flow
+
+    def ids_of(self, flow: Flow) -> Sequence[bytes]:
+        """Return the connection ids that lead to a connection."""
+        return tuple(self._flows[flow].all_ids)
+
+    def _prepare(
+        self,
+        original_destination: bytes,
+        sender: DatagramSender,
+        server: RequestServer,
+    ) -> Flow:
         issued = _IssuedIds(self._ident, self._ids, self._random_bytes)
         connection = RoutedQuicConnection(
             configuration=self._configuration,
@@ -107,10 +136,12 @@
         self._flows[flow] = issued
         issued.add(original_destination)
         issued.follow(lambda issued_id: self._register(issued_id, flow))
+        return flow
+
+    def _start(self, flow: Flow) -> None:
         task = asyncio.create_task(flow.run(self._forget))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return flow
 
     def give_up(self, reason: str) -> None:
         """Tell all callers that their connections end now."""
--- a/src/ragwortpost/process/_http.py
+++ b/src/ragwortpost/process/_http.py
@@ -1,12 +1,14 @@
 """Turns a caller's HTTP/3 exchange into a request and its answer back."""
 
+import asyncio
 import math
 from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import AsyncExitStack
 from datetime import timedelta
 from typing import Final
 
 from ragwortpost._clock import Clock
-from ragwortpost.connection import Exchange, Flow, Response
+from ragwortpost.connection import Exchange, Flow, Listening, Response
 from ragwortpost.request import (
     IDEMPOTENCY_KEY,
     OUTCOME,
@@ -15,6 +17,7 @@
     Answer,
     Answered,
     Dispatcher,
+    EventStream,
     Headers,
     RefusalReason,
     Refused,
@@ -24,6 +27,7 @@
 )
 from ragwortpost.version import Policy
 
+RESUME_PAUSE_SECONDS: Final = 0.2
 KEY_PATH: Final = b'/.well-known/idempotency-key'
 _MS: Final = 1000
 _CREATED: Final = 201
@@ -65,14 +69,14 @@
         clock: Clock,
         service: str,
         dispatcher: Dispatcher,
-        serve_stream: Callable[[Request], Awaitable[Answer]],
+        open_source: Callable[[Request], Awaitable[Answer]],
         policy: Callable[[], Policy],
     ) -> None:
         """Serve requests for ``service`` under the policy in force."""
         self._clock = clock
         self._service = service
         self._dispatcher = dispatcher
-        self._serve_stream = serve_stream
+        self._open_source = open_source
         self._policy = policy
         self._outcomes = OutcomeCounters()
 
@@ -84,6 +88,9 @@
     async def serve(self, exchange: Exchange, flow: Flow) -> None:
         """Serve one request and write its answer to the flow."""
         request = self._request(exchange)
+        if request is not None and request.is_event_stream:
+            await self._serve_events(exchange, request, flow)
+            return
         if exchange.oversized:
             answer: Answer = Refused(RefusalReason.TOO_LARGE)
         elif request is None:
@@ -92,26 +99,53 @@
             await flow.respond(exchange.stream_id, self._new_key())
             return
         else:
-            answer = await self._answer(request)
+            answer = await self._dispatcher.dispatch(request)
         self._outcomes.note(answer)
-        await self._respond(exchange.stream_id, answer, flow)
+        await self._respond(exchange, answer, flow)
 
-    async def _answer(self, request: Request) -> Answer:
-        if request.is_event_stream:
-            return await self._serve_stream(request)
-        return await self._dispatcher.dispatch(request)
+    async def _serve_events(
+        self,
+        exchange: Exchange,
+        request: Request,
+        flow: Flow,
+    ) -> None:
+        events = EventStream(self._open_source)
+        listening = Listening(exchange.headers, events)
+        flow.listening[exchange.stream_id] = listening
+        async with AsyncExitStack() as stack:
+            stack.callback(flow.listening.pop, exchange.stream_id, None)
+            answer = await self._open_events(events, request, exchange)
+            self._outcomes.note(answer)
+            await self._respond(exchange, answer, flow)
+
+    async def _open_events(
+        self,
+        events: EventStream,
+        request: Request,
+        exchange: Exchange,
+    ) -> Answer:
+        answer = await events.start(request)
+        while exchange.resumed and not isinstance(answer, Answered):
+            # The caller was promised this stream by another agent.
+            await asyncio.sleep(RESUME_PAUSE_SECONDS)
+            answer = await events.start(request)
+        return answer
 
     async def _respond(
         self,
-        stream_id: int,
+        exchange: Exchange,
         answer: Answer,
         flow: Flow,
     ) -> None:
+        stream_id = exchange.stream_id
         match answer:
             case Answered(status, headers, chunks, stack):
                 async with stack:
-                    response = Response(status, headers, chunks)
-                    await flow.respond(stream_id, response)
+                    await flow.respond(
+                        stream_id,
+                        Response(status, headers, chunks),
+                        resumed=exchange.resumed,
+                    )
             case Refused() | Unknown():
                 await flow.respond(stream_id, _final(answer))
 
--- a/src/ragwortpost/process/_intake.py
+++ b/src/ragwortpost/process/_intake.py
@@ -74,6 +74,8 @@
     heard: Callable[[HostPort], None]
     # Whether the view may be trusted now.
     is_awake: Callable[[], bool]
+    # Where a connection id of a flow that was given away leads.
+    successor_of: Callable[[bytes], Upstream | None]
     # Returns random bytes.
     random_bytes: Callable[[int], bytes]
 
@@ -126,6 +128,10 @@
         if header.service != self._service_ident:
             self._counters.drop(AgentDrop.WRONG_SERVICE)
             return
+        successor = self._ports.successor_of(packet.destination)
+        if successor is not None:
+            self._pass_to(successor, header, datagram)
+            return
         flow = self._flows.find(packet.destination)
         if flow is not None:
             flow.entry = header.entry
@@ -139,6 +145,24 @@
         else:
             self._counters.drop(AgentDrop.UNKNOWN_FLOW)
 
+    def pass_rest(
+        self,
+        successor: Upstream,
+        entry: HostPort,
+        caller: HostPort,
+        datagram: bytes,
+    ) -> None:
+        """Pass on a datagram that came in while its flow was given away."""
+        header = Forward(
+            hops=0,
+            caller=caller,
+            entry=entry,
+            service=self._service_ident,
+            upstream=self._ident,
+            version=self._fleet.snapshot.version,
+        )
+        self._pass_to(successor, header, datagram)
+
     def _receive_stray(
         self,
         header: Forward,
--- a/src/ragwortpost/process/_peers.py
+++ b/src/ragwortpost/process/_peers.py
@@ -35,11 +35,13 @@
 from ragwortpost.version import Upstream
 from ragwortpost.wire.peer_grpc import PeerBase, PeerStub
 from ragwortpost.wire.peer_pb2 import (
+    Adopted,
     ExchangeReply,
     ExchangeRequest,
     Head,
     Header,
     Load,
+    MovedFlow,
     Refusal,
     ServeReply,
     ServeRequest,
@@ -82,6 +84,16 @@
             case answer:
                 return answer
 
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
+        """Offer a flow to a peer; return whether it went on with it."""
+        stub = PeerStub(self._links.channel(peer.address))
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                reply = await stub.Adopt(state)
+        except (*_LOST, TimeoutError):
+            return False
+        return bool(reply.accepted)
+
     async def _call(
         self,
         peer: Upstream,
@@ -205,6 +217,8 @@
     open_stream: Callable[[Request], Any]
     # The free slots that replies tell of.
     free_slots: Callable[[], int]
+    # Goes on with a flow that another agent gives away.
+    adopt: Callable[[MovedFlow], bool]
 
 
 class PeerService(PeerBase):  # type: ignore[misc]
@@ -230,6 +244,18 @@
         if request is not None:
             await stream.send_message(self._gossip.answer(request))
 
+    async def Adopt(  # noqa: N802
+        self,
+        stream: Stream[MovedFlow, Adopted],
+    ) -> None:
+        """Go on with a flow that another agent gives away."""
+        state = await stream.recv_message()
+        if state is None:
+            return
+        serving = self._serving
+        accepted = serving is not None and serving.adopt(state)
+        await stream.send_message(Adopted(accepted=accepted))
+
     async def Serve(  # noqa: N802
         self,
         stream: Stream[ServeRequest, ServeReply],
--- a/src/ragwortpost/process/_streams.py
+++ b/src/ragwortpost/process/_streams.py
@@ -7,7 +7,6 @@
 from ragwortpost.request import (
     Answer,
     Answered,
-    EventStream,
     PeerChoice,
     Ports,
     Refused,
@@ -44,10 +43,6 @@
         """Open streams here again."""
         self._left.clear()
 
-    async def serve(self, request: Request) -> Answer:
-        """Keep a caller's stream open over any number of sources."""
-        return await EventStream(self.open).start(request)
-
     async def open(self, request: Request) -> Answer:
         """Open a source here, or at a peer while this upstream can't."""
         await self._ports.availability.until_awake()
--- a/src/ragwortpost/request/_event_stream.py
+++ b/src/ragwortpost/request/_event_stream.py
@@ -30,6 +30,12 @@
         """Open sources with ``open_source``, never two at once."""
         self._open_source = open_source
         self._reopened = 0
+        self._delivered_id = b''
+
+    @property
+    def delivered_id(self) -> bytes:
+        """The id of the last event that the reader has dealt with."""
+        return self._delivered_id
 
     @property
     def reopened(self) -> int:
@@ -38,6 +44,7 @@
 
     async def start(self, request: Request) -> Answer:
         """Open the first source; its answer is the caller's."""
+        self._delivered_id = request.header(LAST_EVENT_ID)
         match await self._open_source(request):
             case Answered(status=200) as first:
                 chunks = self._follow(request, first)
@@ -59,6 +66,7 @@
                         events = splitter.feed(chunk)
                         if events:
                             yield events
+                            self._delivered_id = splitter.last_id
             except BrokenAnswerError as error:
                 logging.info('event=stream_source_lost why=%s', error)
             await asyncio.sleep(_REOPEN_PAUSE)
--- a/src/ragwortpost/wire/peer_grpc.py
+++ b/src/ragwortpost/wire/peer_grpc.py
@@ -22,6 +22,10 @@
     async def Serve(self, stream: 'grpclib.server.Stream[ragwortpost.wire.peer_pb2.ServeRequest, ragwortpost.wire.peer_pb2.ServeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Adopt(self, stream: 'grpclib.server.Stream[ragwortpost.wire.peer_pb2.MovedFlow, ragwortpost.wire.peer_pb2.Adopted]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/ragwortpost.wire.Peer/Exchange': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 ragwortpost.wire.peer_pb2.ServeRequest,
                 ragwortpost.wire.peer_pb2.ServeReply,
             ),
+            '/ragwortpost.wire.Peer/Adopt': grpclib.const.Handler(
+                self.Adopt,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                ragwortpost.wire.peer_pb2.MovedFlow,
+                ragwortpost.wire.peer_pb2.Adopted,
+            ),
         }
 
 
@@ -54,6 +64,12 @@
             ragwortpost.wire.peer_pb2.ServeRequest,
             ragwortpost.wire.peer_pb2.ServeReply,
         )
+        self.Adopt = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/ragwortpost.wire.Peer/Adopt',
+            ragwortpost.wire.peer_pb2.MovedFlow,
+            ragwortpost.wire.peer_pb2.Adopted,
+        )
 
 
 class AdminBase(abc.ABC):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -372,6 +372,16 @@
     assert world.up.callers.tally.given_up >= int(count)
 
 
+@then(step(r'at least (?P<count>\d+) flows were moved'))
+def moved(world: World, count: str) -> None:
+    total = sum(
+        int(str(process.agent.status()['moved']))
+        for process in world.up.all_processes
+        if process.agent is not None
+    )
+    assert total >= int(count)
+
+
 @then(step(r'callers of flows given up were back within ' + SECONDS + 's'))
 def back_within(world: World, seconds: str) -> None:
     back = world.up.callers.tally.back_seconds
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -144,6 +144,7 @@
         self.callers.out_of_service = self.taken_out
         self.entry_count = entries
         self.processes: dict[str, Process] = {}
+        self.all_processes: list[Process] = []
         self.upstreams: dict[str, FakeUpstream] = {}
         self.sections: dict[str, dict[str, str]] = {}
         self.leaving: set[str] = set()
@@ -211,6 +212,7 @@
         role, site, host = self.vms[name]
         process = Process(self, name, Role(role), site, host)
         self.processes[name] = process
+        self.all_processes.append(process)
         if process.settings.role is Role.ENTRY:
             self.network.entries[name] = host
         await process.start(
--- a/tests/harness/peers.py
+++ b/tests/harness/peers.py
@@ -19,7 +19,7 @@
     UnknownReason,
 )
 from ragwortpost.version import SocketAddress, Upstream
-from ragwortpost.wire.peer_pb2 import ExchangeReply, ExchangeRequest
+from ragwortpost.wire.peer_pb2 import ExchangeReply, ExchangeRequest, MovedFlow
 from tests.harness.network import Host, Network
 
 CONNECT_SECONDS = 0.5
@@ -130,6 +130,16 @@
             case answer:
                 return answer
 
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
+        """Offer a flow to a peer."""
+        await asyncio.sleep(2 * self._peers.network.delay)
+        target = self._peers.reach(self._host, peer.address)
+        if target is None or target.serving is None:
+            return False
+        return target.serving.adopt(
+            MovedFlow.FromString(state.SerializeToString())
+        )
+
     async def _call(self, peer: Upstream, request: Request) -> Answer:
         target = self._peers.reach(self._host, peer.address)
         if target is None or target.serving is None:
--- a/tests/scenarios/services.feature
+++ b/tests/scenarios/services.feature
@@ -1,5 +1,6 @@
 Feature: Packets reach the right service only
 
+  @ours_only
   Scenario: An upstream's address goes to another service while entries are stale
     Given a Cedarline fleet
     And 12 event streams on badge-desk
