--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -1,7 +1,7 @@
 """The agent: ends callers' connections and serves them at one upstream."""
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass
 from datetime import timedelta
@@ -298,7 +298,7 @@
         bearable = policy.connections * self._ramp.share(policy)
         return len(self._flows) < bearable
 
-    def _entries_for(self, flow: Flow) -> Collection[HostPort]:
+    def _entries_for(self, flow: Flow) -> Sequence[HostPort]:
         chosen = self._entries.choose(
             flow.entry,
             self._live_entries,
@@ -307,7 +307,9 @@
         if not flow.closing:
             return (chosen,)
         # A close is not repeated, so it goes more than one way.
-        return {chosen, *self._live_entries[:CLOSE_WAYS]}
+        return tuple(
+            dict.fromkeys((chosen, *self._live_entries[:CLOSE_WAYS])),
+        )
 
     def _leave(self) -> None:
         self._lifecycle.leave()
--- a/src/ragwortpost/process/_entry_choice.py
+++ b/src/ragwortpost/process/_entry_choice.py
@@ -45,20 +45,23 @@
 
         ``last`` is the entry of the caller's last packet, ``live`` what the
         VM list says, ``attempt`` counts the probes that went unacknowledged
-        since. While there are any, answers go through one entry after
-        another, silent or not, so that a dead one can't swallow them all:
+        since. While there are any, every other answer goes through the entry
+        heard of last, and the rest through one after another, silent or not:
         few entries are heard from often enough to tell.
         """
         if attempt:
-            return self._next_in_turn(live) or last
+            return self._probe(live) or last
         if not self._is_silent(last):
             return last
         talking = [entry for entry in live if not self._is_silent(entry)]
         return self._rng.choice(talking) if talking else last
 
-    def _next_in_turn(self, live: Sequence[HostPort]) -> HostPort | None:
+    def _probe(self, live: Sequence[HostPort]) -> HostPort | None:
         self._turn += 1
-        return live[self._turn % len(live)] if live else None
+        known = [entry for entry in live if entry in self._heard]
+        if known and self._turn % 2:
+            return max(known, key=self._heard.__getitem__)
+        return live[self._turn // 2 % len(live)] if live else None
 
     def _is_silent(self, entry: HostPort) -> bool:
         heard = self._heard.get(entry)
--- a/src/ragwortpost/process/_flows.py
+++ b/src/ragwortpost/process/_flows.py
@@ -119,6 +119,17 @@
         """Return the connection ids that lead to a connection."""
         return tuple(self._flows[flow].all_ids)
 
+    def give_up(self, reason: str) -> None:
+        """Tell all callers that their connections end now."""
+        for flow in self.flows:
+            flow.close(reason)
+
+    async def close(self, reason: str) -> None:
+        """Close all connections and wait until their ends are sent."""
+        self.give_up(reason)
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=1)
+
     def _prepare(
         self,
         original_destination: bytes,
@@ -143,17 +154,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def give_up(self, reason: str) -> None:
-        """Tell all callers that their connections end now."""
-        for flow in self.flows:
-            flow.close(reason)
-
-    async def close(self, reason: str) -> None:
-        """Close all connections and wait until their ends are sent."""
-        self.give_up(reason)
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=1)
-
     def _register(self, connection_id: bytes, flow: Flow) -> None:
         self._by_id[connection_id] = flow
 
--- a/src/ragwortpost/process/_peers.py
+++ b/src/ragwortpost/process/_peers.py
@@ -90,7 +90,7 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 reply = await stub.Adopt(state)
-        except (*_LOST, TimeoutError):
+        except _LOST:
             return False
         return bool(reply.accepted)
 
--- a/standin/deployment.py
+++ b/standin/deployment.py
@@ -14,8 +14,8 @@
 
 import aiohttp
 from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ed25519
 from cryptography.x509.oid import NameOID
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -25,6 +25,7 @@
 from ragwortpost.wire.peer_pb2 import StatusRequest
 
 KEY = '6b' * 32
+CERTIFICATE_SERIAL = 1
 ENTRY_PORT = 7000
 AGENT_PORT = 7001
 UPSTREAM_PORT = 8080
@@ -428,7 +429,7 @@
 
 def write_certificate(folder: Path) -> None:
     """Write a new self-signed certificate and its key."""
-    key = ec.generate_private_key(ec.SECP256R1())
+    key = ed25519.Ed25519PrivateKey.generate()
     name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, 'service')])
     now = datetime.datetime.now(datetime.UTC)
     certificate = (
@@ -436,10 +437,10 @@
         .subject_name(name)
         .issuer_name(name)
         .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
+        .serial_number(CERTIFICATE_SERIAL)
         .not_valid_before(now - datetime.timedelta(days=1))
         .not_valid_after(now + datetime.timedelta(days=30))
-        .sign(key, hashes.SHA256())
+        .sign(key, None)
     )
     (folder / 'certificate.pem').write_bytes(
         certificate.public_bytes(serialization.Encoding.PEM),
@@ -447,7 +448,7 @@
     (folder / 'key.pem').write_bytes(
         key.private_bytes(
             serialization.Encoding.PEM,
-            serialization.PrivateFormat.TraditionalOpenSSL,
+            serialization.PrivateFormat.PKCS8,
             serialization.NoEncryption(),
         ),
     )
