--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 FILE ?= tests/scenarios/smoke.feature
 
-.PHONY: setup run test lint scenario bench capacity binary proto clean
+.PHONY: setup run test lint scenario bench measures capacity pages binary proto clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,15 @@
 capacity: setup
 	PYTHONPATH=. $(BIN)/python -m bench.capacity
 
+measures: setup
+	PYTHONPATH=. $(BIN)/python -m bench.measures
+
+bench: setup
+	PYTHONPATH=. $(BIN)/python -m bench.speed
+
+pages: setup
+	PYTHONPATH=. $(BIN)/python -m bench.pages
+
 binary: setup
 	mkdir -p dist
 	$(BIN)/shiv --quiet --console-script ragwortpost --output-file dist/ragwortpost --python '/usr/bin/env python3.11' .
--- /dev/null
+++ b/bench/pages.py
@@ -0,0 +1,199 @@
+"""Writes docs/CAPACITY.md from docs/capacity.json and docs/speed.json.
+
+Run it as ``make pages`` after ``make capacity`` and ``make bench``.
+"""
+
+import json
+import math
+from pathlib import Path
+from typing import Any
+
+NODES = 5000
+UPSTREAMS = 58000
+VMS = NODES + UPSTREAMS
+FLOWS = 140e6
+NEW_PER_S = 200000
+CHANGES_PER_DAY = 24000
+READS_PER_S = 2000
+DATA_CENTRES = 17
+CONTROL_BYTES = 6000
+CONTROL_CPU = 1.8
+DAY = 86400
+ROUND_BYTES_SHARE = 1.0
+
+
+def table(rows: list[dict[str, Any]], columns: dict[str, str]) -> str:
+    """Return rows as a Markdown table."""
+    lines = [
+        '| ' + ' | '.join(columns.values()) + ' |',
+        '|' + '---|' * len(columns),
+    ]
+    for row in rows:
+        cells = [
+            f'{row[key]:,.4g}' if row[key] < 1000 else f'{row[key]:,.0f}'
+            for key in columns
+        ]
+        lines.append('| ' + ' | '.join(cells) + ' |')
+    return '\n'.join(lines)
+
+
+def render(capacity: dict[str, Any], speed: dict[str, Any]) -> str:
+    """Return the whole page."""
+    tree = capacity['tree'][-1]
+    vms = capacity['vms'][-1]
+    exchange = capacity['exchange']
+    processes = capacity['processes']['processes']
+    agents = [row for name, row in processes.items() if '/' in name]
+    entries = [row for name, row in processes.items() if '/' not in name]
+    entry = speed['entry']
+    flows = speed['flows']
+    grown = flows[-1]['flows'] - flows[0]['flows']
+    flow_kb = (
+        (flows[-1]['agent_rss_mb'] - flows[0]['agent_rss_mb']) / grown * 1024
+    )
+    flow_cpu_ms = (
+        (flows[-1]['agent_cpu_s'] - flows[0]['agent_cpu_s']) / grown * 1000
+    )
+    change_rate = CHANGES_PER_DAY / DAY
+    # A process hears of each version from about two peers and passes it on once.
+    full_bytes_s = change_rate * tree['body_bytes']
+    zlib_bytes_s = change_rate * tree['zlib_bytes']
+    parse_cpu = change_rate * tree['parse_seconds'] * 100
+    quiet_bytes = exchange['wire_bytes']
+    quiet_cpu = exchange['cpu_ms_both_ends'] / 1000 * 100
+    slice_bytes = tree['body_bytes'] / UPSTREAMS * 14
+    packets = FLOWS / 20 * 2
+    forward_rate = 1e6 / (entry['established_us'] + entry['reply_us'])
+    cpu_new = NEW_PER_S * (entry['first_us'] * 4 + entry['reply_us'] * 4) / 1e6
+    readers = DATA_CENTRES * 2
+    return f"""# Capacity at the size to design for
+
+Made by `make pages` from `docs/capacity.json` (`make capacity`) and
+`docs/speed.json` (`make bench`), measured on {capacity['machine']}. What is
+marked *extrapolated* is a measured slope times the size, not a run.
+
+The size: {NODES:,} nodes, {UPSTREAMS:,} upstreams, 4,400 addresses, 140 M open
+flows, 200,000 new a second, {DATA_CENTRES} data centres, {CHANGES_PER_DAY:,}
+changes a day in force within 7 s; control at most {CONTROL_CPU}% of a core, 32
+MB and 6 KB/s a node. A change comes every {1 / change_rate:.1f} s on average.
+
+## What meets its budget today, and what does not
+
+| matter | at the size | budget | verdict |
+|---|---|---|---|
+| settings text, ranges of upstreams | {tree['body_bytes']:,} B (measured) | 1,048,576 B a value | fits; one section an upstream took 3,688,904 B and did not |
+| quiet gossip, bytes a process | {quiet_bytes:.0f} B/s on the wire a started exchange, twice that with the answered one (measured) | 6,000 B/s | fits |
+| quiet control, processor | {max(row['cpu_percent'] for row in entries):.2f}% entry, {max(row['cpu_percent'] for row in agents):.2f}% agent (measured, today's sizes) | {CONTROL_CPU}% | fits; the agent's includes four probes a second of its upstream |
+| whole text on each change | {full_bytes_s:,.0f} B/s (*extrapolated*) | 6,000 B/s | misses {full_bytes_s / CONTROL_BYTES:.0f} times over |
+| whole text, zlib, on each change | {zlib_bytes_s:,.0f} B/s (*extrapolated*) | 6,000 B/s | misses {zlib_bytes_s / CONTROL_BYTES:.1f} times over |
+| reading the whole text on each change | {parse_cpu:.0f}% of a core (*extrapolated* from {tree['parse_seconds']:.2f} s a text) | {CONTROL_CPU}% | misses {parse_cpu / CONTROL_CPU:.0f} times over |
+| snapshot of all upstreams as objects | {tree['snapshot_bytes'] / 1048576:.1f} MB (measured) | 32 MB | misses |
+| the same in compact arrays | {capacity['compact']['bytes'] / 1048576:.2f} MB (measured) | 32 MB | fits |
+| VM list as one JSON value | {vms['body_bytes']:,} B (measured) | 1,048,576 B | misses {vms['body_bytes'] / 1048576:.1f} times over |
+| base of a process before any state | {capacity['bases']['process']:.0f} MB resident (measured) | 32 MB | misses by {capacity['bases']['process'] - 32:.0f} MB |
+
+Which change would meet each miss, in the order of their worth:
+
+1. **Section deltas and slices.** An agent needs its own service only: 14
+   upstreams of the measured tree are about {slice_bytes:,.0f} B. An entry needs
+   the services whose addresses it serves. A change touches a few sections; a
+   delta of one section of 70 B to two peers costs {change_rate * 70 * 2:.0f} B/s
+   (*extrapolated*). That meets bytes, processor and memory together. Not built.
+2. **A text for each region or service**, published as several values with one
+   root, and the VM list paged alike: the list misses even the value's limit.
+3. **Compact arrays** for the order of the entries' upstreams.
+4. **Base memory.** The libraries alone: {', '.join(f'{name} {size:.0f} MB' for name, size in capacity['bases'].items())}.
+   32 MB can't hold aioquic and aiohttp together with the interpreter; an entry
+   needs neither HTTP/3 nor aiohttp's server, so lazy imports can bring it
+   towards the {capacity['bases']['grpclib']:.0f} MB of grpclib. The control
+   slope by itself, without the base, fits once deltas are built.
+
+## Roles
+
+### Entry
+State: a routing table, {tree['table_bytes'] / UPSTREAMS:.0f} B an upstream over
+the snapshot; nothing a flow. Measured on one core through real sockets, 1,000
+upstreams: {entry['established_us']:.1f} us an established datagram
+({entry['established_per_s']:,.0f}/s), {entry['first_us']:.1f} us a first one
+({entry['first_per_s']:,.0f}/s), {entry['reply_us']:.1f} us an answer
+({entry['reply_per_s']:,.0f}/s).
+
+140 M flows that each exchange one packet each way in 20 s (the callers' idle
+timeout sets the floor) are {packets:,.0f} packets/s; at {forward_rate:,.0f} pairs a core
+that takes {packets / 2 / forward_rate:,.0f} cores (*extrapolated*). 200,000 new
+flows/s with four packets each way take {cpu_new:.0f} more. Spread over 5,000
+nodes that is {(packets / 2 / forward_rate + cpu_new) / NODES * 100:.1f}% of a core each: entries are not the limit.
+5,000 new flows/s on one core take {5000 * (entry['first_us'] * 4 + entry['reply_us'] * 4) / 1e6 * 100:.0f}% of it
+(four datagrams each way, *extrapolated* from the slopes); 300,000 open flows
+at one pair in 20 s take {300000 / 20 / forward_rate * 100:.0f}%.
+
+### Agent
+{flow_kb:.1f} KB and {flow_cpu_ms:.1f} ms of processor for each flow opened, measured
+up to {flows[-1]['flows']:,.0f} real flows (10,000 and 50,000 were not run). 140 M
+flows over {UPSTREAMS:,} agents are {FLOWS / UPSTREAMS:,.0f} flows, so
+{FLOWS / UPSTREAMS * flow_kb / 1024:.0f} MB of flow state an agent; 200,000 new/s are
+{NEW_PER_S / UPSTREAMS:.1f}/s, so {NEW_PER_S / UPSTREAMS * flow_cpu_ms / 10:.1f}% of a core (*extrapolated*). That is
+the data path, not control. Records: at most 10,000 or 4 MB.
+
+{table(flows, {'flows': 'flows', 'agent_rss_mb': 'agent MB', 'agent_cpu_s': 'agent CPU s', 'entry_rss_mb': 'entry MB', 'seconds': 'seconds to open'})}
+
+### Reader of the platform
+Two processes a data centre watch two documents: {readers} readers, {readers * 2} calls
+held. In a quiet hour each watch lasts 20 s: {readers * 2 / 20:.1f} calls/s. On a change
+each watch returns and is made again: {readers * 2} calls. When all readers of a data
+centre die, its other processes see the age of the platform's word pass 3 s and
+read on their own at 200/s for the whole fleet, whatever its size: a tenth of
+the {READS_PER_S:,} reads/s. With the platform down for all, that is the rate
+of attempts too. Mechanism: `process/_reader.py`. 63,000 processes starting at
+once would make 126,000 reads: the rack or region that restarts shares the
+limit only through its start-up jitter, which is not built.
+
+### Gossip peer
+One exchange a second is started and one answered on average:
+{exchange['cpu_ms_both_ends']:.2f} ms for both ends, so {quiet_cpu:.2f}% of a core, and
+{exchange['wire_bytes']:.0f} B on the wire (headers of HTTP/2 and IP included). A new
+version goes on to three peers at once, so it reaches 63,000 processes in
+about {math.log(VMS, 4):.0f} hops (*extrapolated*: log base 4). Measured over processes in memory, 20 ms
+one way, 17 data centres, three seeds, a change of 2 KB:
+
+{table(capacity['spread'], {'processes': 'processes', 'near_share': 'share of near peers', 'seconds_to_all_median': 's to all, median', 'seconds_to_all_max': 's to all, max', 'far_bytes': 'B over borders a change', 'near_bytes': 'B inside a change', 'quiet_bytes_per_process_s': 'B/s quiet'})}
+
+The idea of Bickson, Malkhi and Rabinowitz ("Locality-Aware Content
+Distribution"), much to near peers and little to far ones, pays here: at 120
+processes a share of 0.75 near peers sends about a quarter of the bytes over
+borders that uniform peers send, in the same time. It is kept. Runs beyond 120
+processes were too slow in memory for this session: not run.
+
+An hour's cut between regions costs nothing while it lasts: each side gossips on.
+Healing takes one exchange that crosses: one text for each process that is
+behind, {tree['body_bytes']:,} B today ({tree['zlib_bytes']:,} B with zlib, not built).
+
+### Operator's tool
+One call to one process; no state. `check` of the whole tree takes
+{tree['parse_seconds']:.1f} s and {tree['snapshot_bytes'] / 1048576:.0f} MB.
+
+## A replaced VM's first view
+Today: the whole text and VM list from the platform, {tree['body_bytes'] + vms['body_bytes']:,} B at
+the size, which at 6 KB/s would take {(tree['body_bytes'] + vms['body_bytes']) / CONTROL_BYTES / 60:.0f} min if
+counted into the budget; counted apart, it is one read. 3,400 replaced and 230
+failed VMs a day make {3630 / DAY:.3f} such loads a second in the fleet. A slice by
+service ({slice_bytes:,.0f} B) takes under a second even within the budget; that is the
+change to build first (see above).
+
+## The slopes
+
+{table(capacity['tree'], {'upstreams': 'upstreams', 'body_bytes': 'text B', 'zlib_bytes': 'zlib B', 'parse_seconds': 'read s', 'snapshot_bytes': 'snapshot B', 'table_bytes': 'routes B', 'first_us': 'first route us', 'established_us': 'established route us'})}
+
+{table(capacity['vms'], {'vms': 'VMs', 'body_bytes': 'JSON B', 'zlib_bytes': 'zlib B', 'parse_seconds': 'read s', 'bytes': 'objects B'})}
+"""
+
+
+def main() -> None:
+    """Write the page."""
+    capacity = json.loads(Path('docs/capacity.json').read_text())
+    speed = json.loads(Path('docs/speed.json').read_text())
+    Path('docs/CAPACITY.md').write_text(render(capacity, speed))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -89,7 +89,7 @@
     counts = {
         name: found
         for name, found in vars(fleet.callers.tally).items()
-        if name != 'operations'
+        if name not in {'operations', 'latencies'}
     }
     counts['back_seconds'] = round(
         max(fleet.callers.tally.back_seconds, default=0), 2
--- a/tests/harness/callers.py
+++ b/tests/harness/callers.py
@@ -69,6 +69,8 @@
     back_seconds: list[float] = field(default_factory=list)
     # Final state of each non-idempotent operation, as its caller saw it.
     operations: dict[str, str] = field(default_factory=dict)
+    # Seconds to each final answer.
+    latencies: list[float] = field(default_factory=list)
     # What callers were told at the end of flows that broke.
     ends: list[str] = field(default_factory=list)
     # Longest wait for any final answer, in seconds.
@@ -274,6 +276,7 @@
             return None
         took = asyncio.get_running_loop().time() - started
         self.tally.slowest = max(self.tally.slowest, took)
+        self.tally.latencies.append(took)
         return answer
 
     async def _try_connect(self, service: HostPort) -> Caller | None:
