Send requests to idler peers; one place for the upstreams that take new work

Cause: a request ran at its own agent's upstream while any slot was free there, so upstreams with more flows got more requests.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 measures: setup
 	PYTHONPATH=. $(BIN)/python -m bench.measures
 
-bench: setup
+bench: setup binary
 	PYTHONPATH=. $(BIN)/python -m bench.speed
 
 pages: setup
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -191,6 +191,7 @@
 def render_bench(speed: dict[str, Any]) -> str:
     """Return the page on speed."""
     entry, latency = speed['entry'], speed['latency']
+    binary = speed['binary']
     return f"""# Speed
 
 Made by `make pages` from `docs/speed.json`, which `make bench` wrote on
@@ -206,6 +207,12 @@
 | the same request direct to the upstream over HTTP/1.1, p50 / p99 | {latency['direct_p50_ms']:.2f} / {latency['direct_p99_ms']:.2f} ms |
 | change published to in force at all 14 processes, worst of 5 | {latency['change_in_force_s_max_of_5']:.2f} s |
 
+The one-file build (`make binary`, {binary['megabytes']:.1f} MB) starts in {binary['first_start_s']:.2f} s when it
+unpacks and in {binary['later_start_s']:.2f} s after, with a peak of {binary['peak_rss_mb']:.0f} MB. It starts no
+child process. It unpacks {binary['unpacked_megabytes']:.0f} MB below `SHIV_ROOT`, since C extensions
+can't be loaded from a zip file; on a VM without a disk that must be a folder in
+memory, and counts as such.
+
 An entry's memory does not grow with flows; an agent's does:
 
 {table(speed['flows'], {'flows': 'flows', 'agent_rss_mb': 'agent MB', 'agent_cpu_s': 'agent CPU s', 'entry_rss_mb': 'entry-1 MB', 'entry_cpu_s': 'entry-1 CPU s', 'seconds': 'seconds to open'})}
--- a/bench/speed.py
+++ b/bench/speed.py
@@ -8,6 +8,7 @@
 import os
 import platform as machine
 import random
+import resource
 import socket
 import sys
 import tempfile
@@ -217,11 +218,39 @@
     }
 
 
+async def binary_figures() -> dict[str, float]:
+    """Measure the one-file build's start, unpacked anew and again."""
+    binary = Path('dist/ragwortpost').absolute()
+    figures: dict[str, float] = {'megabytes': binary.stat().st_size / 1048576}
+    with tempfile.TemporaryDirectory() as folder:
+        for name in ('first_start_s', 'later_start_s'):
+            started = time.monotonic()
+            child = await asyncio.create_subprocess_exec(
+                str(binary),
+                '--help',
+                stdout=asyncio.subprocess.DEVNULL,
+                env={**os.environ, 'SHIV_ROOT': folder},
+            )
+            await child.wait()
+            figures[name] = time.monotonic() - started
+        unpacked = sum(
+            path.stat().st_size
+            for path in Path(folder).rglob('*')
+            if path.is_file()
+        )
+        figures['unpacked_megabytes'] = unpacked / 1048576
+    figures['peak_rss_mb'] = (
+        resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / 1024
+    )
+    return figures
+
+
 def main() -> None:
     """Measure and write the figures."""
     figures = {
         'command': 'make bench',
         'machine': f'{machine.machine()}, {os.cpu_count()} cores, Python {machine.python_version()}',
+        'binary': asyncio.run(binary_figures()),
         'entry': asyncio.run(entry_speed()),
         'latency': asyncio.run(added_latency()),
         'flows': asyncio.run(flow_figures()),
--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -138,8 +138,7 @@
             self._node.settings.address.pair,
             self._intake.receive,
         )
-        self._node.gossip.load = self._load
-        self._node.gossip.on_load = self._note_load
+        self._node.gossip.carry_load(self._load, self._note_load)
         self._node.subscribe(self.apply)
         self.apply(self._node.fleet)
 
--- a/src/ragwortpost/process/_gossip.py
+++ b/src/ragwortpost/process/_gossip.py
@@ -130,10 +130,8 @@
         self._rng = rng
         self._seeds: Sequence[SocketAddress] = ()
         self._pushes: set[asyncio.Task[None]] = set()
-        # What this process says of its own free slots.
-        self.load: Callable[[], Load | None] = lambda: None
-        # Who wants to know of peers' free slots.
-        self.on_load: Callable[[Load], None] = lambda _: None
+        self._load: Callable[[], Load | None] = lambda: None
+        self._on_load: Callable[[Load], None] = lambda _: None
         stores.settings.subscribe(self._push_on)
         stores.vms.subscribe(self._push_on)
 
@@ -141,6 +139,15 @@
         """Use these peers while the VM list names none."""
         self._seeds = addresses
 
+    def carry_load(
+        self,
+        load: Callable[[], Load | None],
+        on_load: Callable[[Load], None],
+    ) -> None:
+        """Tell peers of own free slots, and ``on_load`` of theirs."""
+        self._load = load
+        self._on_load = on_load
+
     async def run(self) -> None:
         """Compare versions with one peer a round until cancelled."""
         while True:
@@ -168,7 +175,7 @@
             settings_version=self._stores.settings.current.version,
             vms_version=self._stores.vms.current.version,
             documents=self._lacking(request),
-            load=self.load(),
+            load=self._load(),
             platform_age_ms=self._age_ms(),
         )
 
@@ -185,7 +192,7 @@
             settings_version=self._stores.settings.current.version,
             vms_version=self._stores.vms.current.version,
             documents=documents,
-            load=self.load(),
+            load=self._load(),
             platform_age_ms=self._age_ms(),
         )
 
@@ -195,29 +202,26 @@
         if message.platform_age_ms < _MAX_AGE_MS:
             self._freshness.note(message.platform_age_ms / _MS)
         if message.HasField('load'):
-            self.on_load(message.load)
+            self._on_load(message.load)
 
     def _lacking(self, message: PeerMessage) -> list[Document]:
-        documents = []
-        settings = self._stores.settings.current
-        if message.settings_version < settings.version:
-            documents.append(
-                Document(
-                    kind=Document.SETTINGS,
-                    version=settings.version,
-                    body=settings.body,
-                ),
-            )
-        vms = self._stores.vms.current
-        if message.vms_version < vms.version:
-            documents.append(
-                Document(
-                    kind=Document.VMS,
-                    version=vms.version,
-                    body=vms.body,
-                ),
+        held = (
+            (
+                Document.SETTINGS,
+                self._stores.settings,
+                message.settings_version,
+            ),
+            (Document.VMS, self._stores.vms, message.vms_version),
+        )
+        return [
+            Document(
+                kind=kind,
+                version=store.current.version,
+                body=store.current.body,
             )
-        return documents
+            for kind, store, known in held
+            if known < store.current.version
+        ]
 
     def _age_ms(self) -> int:
         return int(min(self._freshness.age * _MS, _MAX_AGE_MS))
--- a/src/ragwortpost/process/_mover.py
+++ b/src/ragwortpost/process/_mover.py
@@ -87,7 +87,8 @@
         forward: Callable[[Flow, Upstream], None],
     ) -> None:
         async with self._turn:
-            successor = first_choice(self._ident, self._candidates())
+            others = self._fleet.others_open_to(self._service, self._ident)
+            successor = first_choice(self._ident, others)
             if successor is None or not await self._move_to(flow, successor):
                 self._counters.closed += 1
                 flow.release()
@@ -104,10 +105,3 @@
             return False
         state.service = self._service
         return await self._give(successor, state)
-
-    def _candidates(self) -> list[Upstream]:
-        return [
-            upstream
-            for upstream in self._fleet.open_to(self._service)
-            if upstream.ident != self._ident
-        ]
--- a/src/ragwortpost/process/_streams.py
+++ b/src/ragwortpost/process/_streams.py
@@ -63,11 +63,7 @@
 
     async def _open_elsewhere(self, request: Request) -> Answer | None:
         tried: set[str] = set()
-        peers = [
-            upstream
-            for upstream in self._fleet.open_to(request.service)
-            if upstream.ident != self._ident
-        ]
+        peers = self._fleet.others_open_to(request.service, self._ident)
         peer = self._choice.choose(peers, tried)
         while peer is not None:
             tried.add(peer.name)
--- a/src/ragwortpost/request/_placement.py
+++ b/src/ragwortpost/request/_placement.py
@@ -128,7 +128,16 @@
     def _prefers_local(self, request: Request) -> bool:
         if not self._ports.availability.takes_work:
             return False
-        return request.handed_off or self._slots.free > 0
+        if request.handed_off:
+            return True
+        free = self._slots.free
+        return free > 0 and not self._has_idler_peer(request, free)
+
+    def _has_idler_peer(self, request: Request, free: int) -> bool:
+        if not self._slots.running:
+            return False
+        peer = self._choice.choose(self._peers(request.service), ())
+        return peer is not None and self._choice.free(peer.name) > free
 
     async def _run_here(self, request: Request) -> Answer:
         match await self._slots.acquire(request.deadline):
@@ -149,11 +158,7 @@
             return replace(answer, stack=stack.pop_all())
 
     def _peers(self, service: str) -> Sequence[Upstream]:
-        return [
-            upstream
-            for upstream in self._fleet.open_to(service)
-            if upstream.ident != self._ident
-        ]
+        return self._fleet.others_open_to(service, self._ident)
 
 
 def _may_move(request: Request, answer: Answer) -> bool:
--- a/src/ragwortpost/version/_fleet.py
+++ b/src/ragwortpost/version/_fleet.py
@@ -3,7 +3,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ragwortpost.version._snapshot import EMPTY_SNAPSHOT, Snapshot, Upstream
+from ragwortpost.version._snapshot import (
+    EMPTY_SNAPSHOT,
+    ShortId,
+    Snapshot,
+    Upstream,
+)
 from ragwortpost.version._vms import EMPTY_VM_LIST, Role, VmList, VmState
 
 
@@ -36,6 +41,18 @@
             upstream for upstream in known.upstreams if self.takes_new(upstream)
         )
 
+    def others_open_to(
+        self,
+        service: str,
+        ident: ShortId,
+    ) -> Sequence[Upstream]:
+        """Return those that take new work, but for one upstream."""
+        return tuple(
+            upstream
+            for upstream in self.open_to(service)
+            if upstream.ident != ident
+        )
+
     def live_entries(self) -> Sequence[tuple[str, int]]:
         """Return where the entries that are not leaving take replies."""
         return [
