--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= cedarline
 SEED ?= 1
-FILE ?= tests/scenarios/smoke.feature
+FILE ?= tests/scenarios/flows.feature
 
 .PHONY: setup run test lint scenario bench measures capacity pages binary proto clean
 
@@ -26,7 +26,7 @@
 	$(BIN)/mypy
 
 scenario: setup
-	SCENARIO_FILE=$(abspath $(FILE)) SCENARIO_SEED=$(SEED) $(BIN)/python -m pytest tests/test_scenarios.py
+	SCENARIO_FILE=$(abspath $(FILE)) SCENARIO_SEED=$(SEED) $(BIN)/python -m pytest tests/test_scenarios.py -rA
 
 capacity: setup
 	PYTHONPATH=. $(BIN)/python -m bench.capacity
--- a/conftest.py
+++ b/conftest.py
@@ -3,7 +3,10 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
+settings.register_profile('ci', database=None, deadline=None)
+settings.load_profile('ci')
 KNOWN_RED = Path(__file__).parent / 'KNOWN-RED.txt'
 
 
--- /dev/null
+++ b/src/ragwortpost/request/tests/test_at_most_once.py
@@ -0,0 +1,229 @@
+"""Tests of keys, records and the dispatcher that uses them."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from ragwortpost.request import (
+    IDEMPOTENCY_KEY,
+    Answer,
+    Answered,
+    Begun,
+    BeginRefused,
+    Dispatcher,
+    Incarnation,
+    KeyCodec,
+    PeerChoice,
+    Placement,
+    Ports,
+    Ramp,
+    RecordTable,
+    RefusalReason,
+    Refused,
+    Repeated,
+    Request,
+    Slots,
+    StoredAnswer,
+    Unknown,
+    UnknownReason,
+)
+from ragwortpost.version import Policy, Upstream, short_id
+
+LEASE = timedelta(minutes=10)
+START = datetime(2026, 1, 1, tzinfo=UTC)
+OWNER = Incarnation(short_id('desk/north/1'), 7)
+
+
+class HandClock:
+    """A wall clock moved by hand over the loop's own time."""
+
+    def __init__(self) -> None:
+        self.wall = START
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def now(self) -> datetime:
+        return self.wall
+
+
+class Upstreams:
+    """An upstream that counts its runs, and no peers."""
+
+    takes_work = True
+    refusal = RefusalReason.UPSTREAM_DOWN
+
+    def __init__(self, *answers: Answer | None) -> None:
+        self.answers = list(answers)
+        self.runs = 0
+
+    async def until_awake(self) -> None:
+        """Always awake."""
+
+    async def send(self, request: Request) -> Answer:
+        self.runs += 1
+        await asyncio.sleep(0.01)
+        scripted = self.answers.pop(0) if self.answers else None
+        return scripted or Answered(200, [], _body(), AsyncExitStack())
+
+    async def serve(self, peer: Upstream, request: Request) -> Answer:
+        return Refused(RefusalReason.PEER_UNREACHABLE)
+
+    async def ask_owner(self, owner: Upstream, request: Request) -> Answer:
+        return Unknown(UnknownReason.OWNER_UNREACHABLE)
+
+
+async def _body() -> AsyncGenerator[bytes, None]:
+    yield b'done'
+
+
+def codec() -> KeyCodec:
+    """Return a codec with predictable nonces."""
+    numbers = iter(range(1, 1000))
+    return KeyCodec(b's' * 32, LEASE, lambda size: next(numbers).to_bytes(size))
+
+
+def dispatcher(clock: HandClock, upstreams: Upstreams) -> Dispatcher:
+    """Return a dispatcher of one agent without peers."""
+    import random  # noqa: PLC0415
+
+    slots = Slots(clock, Policy(slots=4, ramp=timedelta(0)), Ramp(clock))
+    ports = Ports(upstreams, upstreams, upstreams)
+    choice = PeerChoice(clock, random.Random(1))
+    placement = Placement(OWNER.upstream, slots, ports, choice)
+    return Dispatcher(clock, OWNER, codec(), ports, placement)
+
+
+def post(key: bytes) -> Request:
+    """Return a non-idempotent request with a key."""
+    deadline = asyncio.get_running_loop().time() + 1
+    return Request(
+        'desk', 'POST', b'/', [(IDEMPOTENCY_KEY, key)], b'', deadline
+    )
+
+
+class TestKeys:
+    """Only keys that an agent issued are read."""
+
+    def test_round_trip(self) -> None:
+        keys = codec()
+        key = keys.issue(OWNER, START)
+        assert keys.read(keys.write(key)).unwrap() == key
+
+    @pytest.mark.parametrize('at', [0, 12, 20, 30, 45, -1])
+    def test_any_change_is_noticed(self, at: int) -> None:
+        keys = codec()
+        text = bytearray(keys.write(keys.issue(OWNER, START)))
+        text[at] ^= 1
+        assert keys.read(bytes(text)).is_err()
+
+
+class TestRecords:
+    """Records are bounded and never dropped before their lease."""
+
+    def run(self, work: object) -> None:
+        asyncio.run(work)  # type: ignore[arg-type]
+
+    def test_full_table_refuses_the_new_one(self) -> None:
+        async def work() -> None:
+            table, keys = RecordTable(HandClock(), max_records=2), codec()
+            held = [keys.issue(OWNER, START) for _ in range(3)]
+            assert isinstance(table.begin(held[0]), Begun)
+            assert isinstance(table.begin(held[1]), Begun)
+            assert table.begin(held[2]) is BeginRefused.FULL
+            assert isinstance(table.begin(held[0]), Repeated)
+
+        self.run(work())
+
+    def test_expired_key_never_runs_again_even_if_the_clock_goes_back(
+        self,
+    ) -> None:
+        async def work() -> None:
+            clock = HandClock()
+            table, keys = RecordTable(clock), codec()
+            key = keys.issue(OWNER, START)
+            begun = table.begin(key)
+            assert isinstance(begun, Begun)
+            table.settle(begun.record, StoredAnswer(200, [], b'x'))
+            clock.wall = START + 2 * LEASE
+            assert table.begin(key) is BeginRefused.EXPIRED
+            clock.wall = START
+            assert table.begin(key) is BeginRefused.EXPIRED
+
+        self.run(work())
+
+
+class TestDispatcher:
+    """A keyed request runs at most once, whatever repeats arrive."""
+
+    def test_racing_repeats_run_once(self) -> None:
+        async def work() -> None:
+            upstreams = Upstreams()
+            serving = dispatcher(HandClock(), upstreams)
+            key = serving.new_key()
+            answers = await asyncio.gather(
+                *(serving.dispatch(post(key)) for _ in range(5))
+            )
+            assert upstreams.runs == 1
+            assert all(isinstance(answer, Answered) for answer in answers)
+
+        asyncio.run(work())
+
+    def test_caller_that_leaves_does_not_stop_the_run(self) -> None:
+        async def work() -> None:
+            upstreams = Upstreams()
+            serving = dispatcher(HandClock(), upstreams)
+            key = serving.new_key()
+            first = asyncio.ensure_future(serving.dispatch(post(key)))
+            await asyncio.sleep(0.005)
+            first.cancel()
+            assert isinstance(await serving.dispatch(post(key)), Answered)
+            assert upstreams.runs == 1
+
+        asyncio.run(work())
+
+    def test_refused_request_may_run_later(self) -> None:
+        async def work() -> None:
+            upstreams = Upstreams(Refused(RefusalReason.SHED))
+            serving = dispatcher(HandClock(), upstreams)
+            key = serving.new_key()
+            assert isinstance(await serving.dispatch(post(key)), Refused)
+            assert isinstance(await serving.dispatch(post(key)), Answered)
+
+        asyncio.run(work())
+
+    def test_lost_answer_stays_unknown(self) -> None:
+        async def work() -> None:
+            upstreams = Upstreams(Unknown(UnknownReason.CONNECTION_LOST))
+            serving = dispatcher(HandClock(), upstreams)
+            key = serving.new_key()
+            for _ in range(2):
+                answer = await serving.dispatch(post(key))
+                assert answer == Unknown(UnknownReason.CONNECTION_LOST)
+            assert upstreams.runs == 1
+
+        asyncio.run(work())
+
+    def test_key_of_an_earlier_life_is_unknown(self) -> None:
+        async def work() -> None:
+            upstreams = Upstreams()
+            serving = dispatcher(HandClock(), upstreams)
+            keys = codec()
+            earlier = Incarnation(OWNER.upstream, OWNER.number + 1)
+            text = keys.write(keys.issue(earlier, START))
+            answer = await serving.dispatch(post(text))
+            assert answer == Unknown(UnknownReason.OWNER_GONE)
+            assert upstreams.runs == 0
+
+        asyncio.run(work())
+
+    def test_foreign_key_is_refused(self) -> None:
+        async def work() -> None:
+            serving = dispatcher(HandClock(), Upstreams())
+            answer = await serving.dispatch(post(b'my-own-key'))
+            assert answer == Refused(RefusalReason.FOREIGN_KEY)
+
+        asyncio.run(work())
--- /dev/null
+++ b/src/ragwortpost/version/tests/test_decisions.py
@@ -0,0 +1,83 @@
+"""Differential tests of the order and the store against naive versions."""
+
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from ragwortpost.version import (
+    Upstream,
+    first_choice,
+    parse_snapshot,
+    preference,
+    score,
+    settings_store,
+)
+
+HEAD = '[service s]\naddress = 10.0.0.1:1\n[data-centre d]\n'
+
+
+def members(weights: list[int]) -> list[Upstream]:
+    """Return upstreams of given weights."""
+    text = HEAD + ''.join(
+        f'[upstream s/d/{number}]\naddress = 10.0.1.{number + 1}:1\nweight = {weight}\n'
+        for number, weight in enumerate(weights)
+    )
+    snapshot = parse_snapshot(1, text.encode()).unwrap()
+    return list(snapshot.services['s'].upstreams)
+
+
+class TestOrder:
+    """The order is that of the scores and moves only what must move."""
+
+    @seed(1)
+    @given(
+        st.binary(min_size=8, max_size=20),
+        st.lists(st.integers(1, 900), min_size=1, max_size=12),
+    )
+    def test_agrees_with_sorting_all(
+        self, flow: bytes, weights: list[int]
+    ) -> None:
+        upstreams = members(weights)
+        ranked = sorted(upstreams, key=lambda upstream: score(flow, upstream))
+        assert first_choice(flow, upstreams) == ranked[0]
+        assert list(preference(flow, upstreams, len(upstreams))) == ranked
+
+    @seed(1)
+    @given(st.binary(min_size=8, max_size=20), st.integers(0, 9))
+    def test_removal_moves_only_its_own_flows(
+        self, flow: bytes, gone: int
+    ) -> None:
+        upstreams = members([100] * 10)
+        before = first_choice(flow, upstreams)
+        left = [
+            upstream
+            for upstream in upstreams
+            if upstream is not upstreams[gone]
+        ]
+        if before is not upstreams[gone]:
+            assert first_choice(flow, left) == before
+
+    def test_weights_draw_their_share(self) -> None:
+        upstreams = members([300, 100])
+        hits = sum(
+            first_choice(b'%08d' % number, upstreams) is upstreams[0]
+            for number in range(4000)
+        )
+        assert 0.72 < hits / 4000 < 0.78
+
+
+class TestStore:
+    """Whatever is offered, the store holds the highest valid version."""
+
+    @seed(1)
+    @given(st.lists(st.tuples(st.integers(1, 9), st.booleans()), max_size=30))
+    def test_agrees_with_the_naive_maximum(
+        self, offers: list[tuple[int, bool]]
+    ) -> None:
+        store = settings_store()
+        seen = [0]
+        for version, valid in offers:
+            body = b'[defaults]\nslots = 1' if valid else b'[nonsense'
+            store.offer(version, body, 'test')
+            if valid:
+                seen.append(version)
+            assert store.current.version == max(seen)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,6 +31,7 @@
     """Run each scenario under both policies."""
     if metafunc.module.__name__.endswith('test_scenarios'):
         only = metafunc.definition.get_closest_marker('ours_only')
+        only = only or 'SCENARIO_FILE' in os.environ
         metafunc.parametrize('policy', ['ours'] if only else ['ours', 'naive'])
 
 
