--- a/src/ragwortpost/request/_placement.py
+++ b/src/ragwortpost/request/_placement.py
@@ -128,16 +128,7 @@
     def _prefers_local(self, request: Request) -> bool:
         if not self._ports.availability.takes_work:
             return False
-        if request.handed_off:
-            return True
-        free = self._slots.free
-        return free > 0 and not self._has_idler_peer(request, free)
-
-    def _has_idler_peer(self, request: Request, free: int) -> bool:
-        if not self._slots.running:
-            return False
-        peer = self._choice.choose(self._peers(request.service), ())
-        return peer is not None and self._choice.free(peer.name) > free
+        return request.handed_off or self._slots.free > 0
 
     async def _run_here(self, request: Request) -> Answer:
         match await self._slots.acquire(request.deadline):
