Prepare the order once for many flows

Cause: by the profile of the entry's first packets, a third of the time went to the score of each upstream: a call, an attribute and a conversion of the id for each. Ruled out: the hash itself (a tenth of that). The differential test against sorting by score holds, with upstreams to avoid as well.

--- a/src/ragwortpost/connection/_routing.py
+++ b/src/ragwortpost/connection/_routing.py
@@ -4,7 +4,7 @@
 connection id, and a new one goes by the order of its first connection id.
 """
 
-from collections.abc import Container, Mapping, Sequence
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final, TypeAlias
@@ -14,10 +14,10 @@
 from ragwortpost.version import (
     AdminState,
     Fleet,
+    Order,
     Service,
     ShortId,
     Upstream,
-    first_choice,
 )
 
 _MIN_CALLER_ID_BYTES: Final = 8
@@ -73,8 +73,8 @@
         """Prepare the upstreams of each service that take new flows."""
         self._snapshot: Final = fleet.snapshot
         self._codec: Final = codec
-        self._open: Final[Mapping[str, Sequence[Upstream]]] = {
-            name: fleet.open_to(name) for name in fleet.snapshot.services
+        self._orders: Final[Mapping[str, Order]] = {
+            name: Order(fleet.open_to(name)) for name in fleet.snapshot.services
         }
 
     @property
@@ -127,7 +127,7 @@
         ident: ShortId,
         connection_id: bytes,
     ) -> Route:
-        successor = first_choice(ident, self._open[service.name])
+        successor = self._orders[service.name].first(ident)
         if successor is None:
             return Reset(connection_id, DropReason.NO_UPSTREAM)
         return ToUpstream(successor)
@@ -138,11 +138,7 @@
         flow_id: bytes,
         avoid: Container[ShortId],
     ) -> Route:
-        candidates = self._open[service.name]
-        preferred = [
-            upstream for upstream in candidates if upstream.ident not in avoid
-        ]
-        upstream = first_choice(flow_id, preferred or candidates)
+        upstream = self._orders[service.name].first(flow_id, avoid)
         if upstream is None:
             return Drop(DropReason.NO_UPSTREAM)
         return ToUpstream(upstream, is_first=True)
--- a/src/ragwortpost/version/__init__.py
+++ b/src/ragwortpost/version/__init__.py
@@ -7,7 +7,12 @@
     IniSection,
     parse_ini,
 )
-from ragwortpost.version._order import first_choice, preference, score
+from ragwortpost.version._order import (
+    Order,
+    first_choice,
+    preference,
+    score,
+)
 from ragwortpost.version._policy import POLICY_KEYS, AdminState, Policy
 from ragwortpost.version._settings_errors import (
     AddressConflictError,
@@ -88,6 +93,7 @@
     'Level',
     'Location',
     'MissingKeyError',
+    'Order',
     'Outcome',
     'Policy',
     'Role',
--- a/src/ragwortpost/version/_order.py
+++ b/src/ragwortpost/version/_order.py
@@ -8,12 +8,12 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from typing import Final
 
 import xxhash
 
-from ragwortpost.version._snapshot import Upstream
+from ragwortpost.version._snapshot import ShortId, Upstream
 
 _HASH_SPAN: Final = 1 << 64
 
@@ -25,16 +25,43 @@
     return -math.log(draw) / upstream.policy.weight
 
 
+class Order:
+    """The order over a fixed set of upstreams, prepared for many flows."""
+
+    def __init__(self, upstreams: Iterable[Upstream]) -> None:
+        """Read what the scores need off each upstream once."""
+        self._rows: Final = tuple(
+            (int.from_bytes(upstream.ident), upstream.policy.weight, upstream)
+            for upstream in upstreams
+        )
+
+    def first(
+        self,
+        flow_id: bytes,
+        avoid: Container[ShortId] = (),
+    ) -> Upstream | None:
+        """Return the upstream that a flow goes to, or none if there is none.
+
+        One in ``avoid`` is taken only if there is no other.
+        """
+        best = None
+        least = math.inf
+        for seed, weight, upstream in self._rows:
+            draw = (xxhash.xxh64_intdigest(flow_id, seed) + 1) / _HASH_SPAN
+            drawn = -math.log(draw) / weight
+            if drawn < least and not (avoid and upstream.ident in avoid):
+                best, least = upstream, drawn
+        if best is None and avoid:
+            return self.first(flow_id)
+        return best
+
+
 def first_choice(
     flow_id: bytes,
     upstreams: Iterable[Upstream],
 ) -> Upstream | None:
     """Return the upstream that a flow goes to, or none if there is none."""
-    return min(
-        upstreams,
-        key=lambda upstream: score(flow_id, upstream),
-        default=None,
-    )
+    return Order(upstreams).first(flow_id)
 
 
 def preference(
--- a/src/ragwortpost/version/tests/test_decisions.py
+++ b/src/ragwortpost/version/tests/test_decisions.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from ragwortpost.version import (
+    Order,
     Upstream,
     first_choice,
     parse_snapshot,
@@ -39,6 +40,11 @@
         upstreams = members(weights)
         ranked = sorted(upstreams, key=lambda upstream: score(flow, upstream))
         assert first_choice(flow, upstreams) == ranked[0]
+        avoid = {ranked[0].ident}
+        assert (
+            Order(upstreams).first(flow, avoid)
+            == ranked[min(1, len(ranked) - 1)]
+        )
         assert list(preference(flow, upstreams, len(upstreams))) == ranked
 
     @seed(1)
--- a/tests/harness/naive.py
+++ b/tests/harness/naive.py
@@ -31,7 +31,7 @@
     Slots,
     Unknown,
 )
-from ragwortpost.version import Service, VersionStore, first_choice
+from ragwortpost.version import Service, VersionStore
 
 
 class NaiveRoutingTable(RoutingTable):
@@ -39,7 +39,7 @@
 
     def route_from(self, service: Service, caller: str) -> Route:
         """Return the upstream that the caller hashes to in this view."""
-        upstream = first_choice(caller.encode(), self._open[service.name])
+        upstream = self._orders[service.name].first(caller.encode())
         if upstream is None:
             return Drop(DropReason.NO_UPSTREAM)
         return ToUpstream(upstream)
