--- a/bench/pages.py
+++ b/bench/pages.py
@@ -248,7 +248,8 @@
 each way in 20 s, that is
 {new_share:.0f}% and {open_share:.0f}% of a core: {new_share + open_share:.0f}% together. {verdict} It was not run as
 a whole, since one machine's callers can't open that many. 10,000 flows at one
-agent were not run.
+agent were not run. Two runs of one build on this machine gave 12.1 and 18.3 us for
+an established datagram, so the verdict lies within that noise.
 """
 
 
