--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -93,7 +93,8 @@
         self._node = node
         self._name = node.settings.name
         self._ident = short_id(self._name)
-        self._service = short_id(self._name.partition('/')[0])
+        self._service_name = self._name.partition('/')[0]
+        self._service = short_id(self._service_name)
         self._live_entries = node.fleet.live_entries()
         self._entries = EntryChoice(node.clock, node.rng)
         self._stopping = False
@@ -229,7 +230,7 @@
         self._streams = StreamSources(self._ident, ports, self._choice)
         self._http = HttpHandler(
             node.clock,
-            self._name.partition('/')[0],
+            self._service_name,
             self._dispatcher,
             self._streams.open,
             lambda: self._slots.policy,
@@ -253,7 +254,7 @@
         self._mover = Mover(
             node.clock,
             self._ident,
-            self._name.partition('/')[0],
+            self._service_name,
             self._flows,
             self._peer_port.adopt,
         )
@@ -277,7 +278,7 @@
         return self._flows.open(original_destination, self, self._http)
 
     def _adopt(self, state: MovedFlow) -> bool:
-        if state.service != self._name.partition('/')[0]:
+        if state.service != self._service_name:
             return False
         if not self._has_room():
             return False
--- a/standin/deployment.py
+++ b/standin/deployment.py
@@ -9,7 +9,7 @@
 import sys
 import time
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
@@ -452,8 +452,3 @@
             serialization.NoEncryption(),
         ),
     )
-
-
-def with_entries(plan: Plan, entries: int) -> Plan:
-    """Return the plan with another number of entries."""
-    return replace(plan, entries=entries)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -58,7 +58,6 @@
         self.fleet: Fleet | None = None
         self.published = 0
         self.published_at = 0.0
-        self.marks: dict[str, float] = {}
 
     @property
     def up(self) -> Fleet:
@@ -317,7 +316,6 @@
 def wake(world: World, name: str) -> None:
     process = world.up.processes[name]
     process.clock.thaw()
-    world.marks[f'wake {name}'] = world.up.loop.time()
     world.up.network.wake(process.host)
 
 
--- a/tests/harness/peers.py
+++ b/tests/harness/peers.py
@@ -1,7 +1,7 @@
 """Calls between processes in memory, with cuts and deaths."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable, Mapping
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Protocol
@@ -183,6 +183,3 @@
         answer: Answer = await serving.open_stream(request)
         return answer
     return await serving.dispatcher.dispatch(request)
-
-
-Peers = Mapping[SocketAddress, Peer]
