Bound each upstream's backlog; new flows wait at the entry for room

Also: a service that states no warm-up rate bears all new flows (rate 0 was read as none: refused nearly all for two seconds), an agent without a view trusts the entry, an entry stops once the routers have noticed.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -25,6 +25,7 @@
 )
 from ragwortpost.datapath.connection._placement import (
     Candidate,
+    backlog_limit,
     choose,
     expected_wait,
 )
@@ -49,6 +50,7 @@
     'Search',
     'Searches',
     'Standing',
+    'backlog_limit',
     'caller_of',
     'choose',
     'describe_flow',
--- a/src/ragwortpost/datapath/connection/_admission.py
+++ b/src/ragwortpost/datapath/connection/_admission.py
@@ -22,6 +22,7 @@
     TAKEN_OUT = 'data centre taken out'
     COLD = 'cold'
     FULL = 'full'
+    BUSY = 'busy'
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,8 @@
     cold_rate: float | None
     # Flows that it may hold.
     connection_limit: int
+    # Requests that it may have at hand.
+    backlog_limit: int
 
 
 class Admission:
@@ -49,10 +52,11 @@
         self,
         standing: Standing,
         held: int,
+        load: int,
         now: float,
     ) -> Refusal | None:
         """Return why a new flow is refused; count it if it is admitted."""
-        refusal = self._refusal(standing, held, now)
+        refusal = self._refusal(standing, held, load, now)
         if refusal is None:
             self._admitted.append(now)
         return refusal
@@ -61,6 +65,7 @@
         self,
         standing: Standing,
         held: int,
+        load: int,
         now: float,
     ) -> Refusal | None:
         while self._admitted and now - self._admitted[0] > RATE_WINDOW_SECONDS:
@@ -71,6 +76,8 @@
             return Refusal.TAKEN_OUT
         if held >= standing.connection_limit:
             return Refusal.FULL
+        if load >= standing.backlog_limit:
+            return Refusal.BUSY
         rate = standing.cold_rate
         if rate is not None and len(self._admitted) >= max(1, int(rate)):
             return Refusal.COLD
--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -6,6 +6,7 @@
 once, which returns the packet if the flow is not its own.
 """
 
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -19,6 +20,9 @@
 # Acknowledged bytes within which a caller's packet belongs to the handshake
 # that this upstream answered; both windows of a flow stay far below it.
 _HANDSHAKE_SPAN: Final = 262144
+# Seconds from an accepted flow to its first request, at most; a caller that
+# lives sends it one round trip later.
+_FIRST_REQUEST_SECONDS: Final = 0.25
 # Flows looked at in one sweep for expired ones; bounds the pause.
 _SWEEP_FLOWS: Final = 2000
 
@@ -61,6 +65,7 @@
         self._idle = idle
         self._flows: dict[FlowKey, HeldFlow] = {}
         self._foreign: dict[FlowKey, float] = {}
+        self._handshakes: deque[tuple[float, FlowKey]] = deque()
         self._busy = 0
 
     @property
@@ -68,6 +73,13 @@
         """Flows whose request waits for its response."""
         return self._busy
 
+    def load(self, now: float) -> int:
+        """Return the requests at hand, with those that are about to come."""
+        handshakes = self._handshakes
+        while handshakes and self._is_past(*handshakes[0], now):
+            handshakes.popleft()
+        return self._busy + len(handshakes)
+
     def __len__(self) -> int:
         """Return the number of flows held."""
         return len(self._flows)
@@ -98,6 +110,8 @@
         if held is None:
             handshake = packet.sequence if packet.accepts else None
             self._flows[packet.flow] = HeldFlow(now, handshake)
+            if handshake is not None:
+                self._handshakes.append((now, packet.flow))
             return True
         held.last_seen = now
         if packet.length:
@@ -129,6 +143,12 @@
                 break
             self._foreign.pop(flow)
 
+    def _is_past(self, accepted: float, flow: FlowKey, now: float) -> bool:
+        if now - accepted > _FIRST_REQUEST_SECONDS:
+            return True
+        held = self._flows.get(flow)
+        return held is None or held.handshake is None
+
     def _note_caller(
         self,
         held: HeldFlow,
--- a/src/ragwortpost/datapath/connection/_placement.py
+++ b/src/ragwortpost/datapath/connection/_placement.py
@@ -1,8 +1,10 @@
 """An entry's choice of the upstream for a new flow.
 
 Answers a service whose upstreams have few slots each: any unlucky pick makes a
-queue, so the least loaded upstream of the entry's own data centre is taken,
-and one elsewhere only if every near one would make the request wait.
+queue, so the least loaded upstream is taken, preferably of the entry's own
+data centre. Answers the rush after a mass restart, too: no upstream is given
+more than a short queue, and flows that find all queues full wait at the entry
+for the next one that has room.
 """
 
 import random
@@ -10,13 +12,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-# Load added to an upstream in another data centre: half a slot, so that
-# a near upstream with a free slot always goes before a far one.
+# Load added to an upstream in another data centre, in units of all slots: a
+# near upstream with a free slot goes before a far one.
 FAR_PENALTY: Final = 0.5
-# Load added to an upstream that is still cold: it goes after all others.
-COLD_PENALTY: Final = 4.0
+# Load added to an upstream that is still slow after its start.
+COLD_PENALTY: Final = 0.5
 # Load added to an upstream whose agent was not heard of for a while.
 SILENT_PENALTY: Final = 100.0
+# Requests an upstream may have at hand for each slot. The last one of them
+# waits for as long as about four requests take, the most that a latency
+# objective leaves room for.
+BACKLOG_PER_SLOT: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +43,11 @@
     silent: bool
 
 
+def backlog_limit(slots: int) -> int:
+    """Return how many requests an upstream may have at hand."""
+    return BACKLOG_PER_SLOT * max(1, slots)
+
+
 def expected_wait(candidate: Candidate) -> float:
     """Return how loaded a candidate is, in units of all its slots."""
     wait = candidate.load / max(1, candidate.slots)
@@ -54,12 +65,19 @@
     tried: Collection[str],
     rng: random.Random,
 ) -> Candidate | None:
-    """Return the least loaded candidate that was not tried, if there is one.
+    """Return the least loaded candidate that was not tried and has room.
 
     Ties are broken at random, so that entries with equal views don't all
     choose the same upstream.
     """
-    fresh = [one for one in candidates if one.agent not in tried]
-    if not fresh:
+    open_to_it = [
+        one
+        for one in candidates
+        if one.load < backlog_limit(one.slots) and one.agent not in tried
+    ]
+    if not open_to_it:
         return None
-    return min(fresh, key=lambda one: (expected_wait(one), rng.random()))
+    return min(
+        open_to_it,
+        key=lambda one: (expected_wait(one), rng.random()),
+    )
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -15,6 +15,7 @@
     PacketFormat,
     Refusal,
     Standing,
+    backlog_limit,
     caller_of,
 )
 from ragwortpost.datapath.process._context import NodeContext
@@ -33,8 +34,6 @@
 IDLE_SECONDS: Final = 30.0
 # Flows that an upstream holds at most, until the configuration says so.
 DEFAULT_CONNECTIONS: Final = 2000
-# New flows a second that a cold upstream gets if its service names no rate.
-DEFAULT_COLD_RATE: Final = 5.0
 # Seconds for which an upstream's silence to an offered packet is waited for.
 OFFER_SECONDS: Final = 3.0
 
@@ -76,8 +75,8 @@
 
     @property
     def load(self) -> int:
-        """Requests in work and flows about to send their first one."""
-        return self._flows.busy
+        """Requests at hand and flows about to send their first one."""
+        return self._flows.load(self._clock.monotonic())
 
     @property
     def held(self) -> int:
@@ -150,7 +149,12 @@
             return
         if forward.service == self._tag:
             standing = self._standing()
-            refusal = self._admission.decide(standing, len(self._flows), now)
+            refusal = self._admission.decide(
+                standing,
+                len(self._flows),
+                self.load,
+                now,
+            )
         else:
             refusal = Refusal.WRONG_SERVICE
         if refusal is None:
@@ -165,12 +169,16 @@
         limit = policy.connection_limit if policy else DEFAULT_CONNECTIONS
         cold_rate = None
         if entry is not None and self._state.warm_up_left(entry) > 0:
-            cold_rate = policy.warm_up_rate if policy else DEFAULT_COLD_RATE
+            cold_rate = policy.warm_up_rate if policy else None
+        gone = entry is None and fleet.configuration is not None
         return Standing(
-            leaving=self._is_stopping() or entry is None or entry.leaving,
+            leaving=self._is_stopping()
+            or gone
+            or (entry is not None and entry.leaving),
             taken_out=self._settings.data_centre in fleet.taken_out,
             cold_rate=cold_rate,
             connection_limit=limit,
+            backlog_limit=backlog_limit(entry.slots if entry else 1),
         )
 
     def _offer(self, packet: Packet, entry: str) -> None:
--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -24,8 +24,10 @@
     heard: float
     # Monotonic seconds of the last digest.
     told: float
-    # Requests in work at its upstream, with flows placed there since.
+    # Requests at hand at its upstream, with flows placed there since.
     load: float
+    # Monotonic seconds of the last report of its load, or of a flow placed.
+    reported: float
 
 
 class Directory:
@@ -47,12 +49,13 @@
         """Take in what a process says of itself."""
         known = self._peers.get(host)
         if known is None:
-            self._peers[host] = Peer(digest, now, now, digest.load)
+            self._peers[host] = Peer(digest, now, now, digest.load, now)
         else:
             known.digest = digest
             known.heard = now
             known.told = now
             known.load = digest.load
+            known.reported = now
         for entry in digest.entries:
             if entry != self._host:
                 self._named[entry] = now
@@ -63,11 +66,19 @@
         if peer is not None:
             peer.heard = now
 
-    def note_load(self, host: str, load: float) -> None:
-        """Note a process's load."""
+    def note_load(self, host: str, load: float, now: float) -> None:
+        """Note the load that a process reports."""
         peer = self._peers.get(host)
         if peer is not None:
             peer.load = load
+            peer.reported = now
+
+    def add_load(self, host: str, now: float) -> None:
+        """Count a flow placed at a process until its next report."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            peer.load += 1
+            peer.reported = now
 
     def entries(self, now: float) -> Sequence[str]:
         """Return the addresses of the other entries that may be alive."""
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -9,11 +9,13 @@
     Candidate,
     FlowCache,
     FlowKey,
+    Opening,
     Openings,
     Packet,
     PacketFormat,
     Search,
     Searches,
+    backlog_limit,
     caller_of,
     choose,
     route_of,
@@ -37,8 +39,12 @@
 # Seconds for an agent to answer a new flow before another one is tried; far
 # above an answer's usual time and below a caller's own repeat.
 OPENING_SECONDS: Final = 0.08
-# Agents tried for one new flow before it is refused.
-MAX_TRIES: Final = 4
+# Seconds after which an agent's last report of a full queue is outdated, and
+# one more new flow is tried there.
+REPORT_SECONDS: Final = 0.06
+# Part of a route's timeout for which a new flow may wait for an upstream; the
+# rest is for its request.
+WAIT_SHARE: Final = 0.6
 # Seconds without confirmation after which the view may lack a new route, so
 # that a flow without a route is not refused.
 TRUSTED_VIEW_SECONDS: Final = 3.0
@@ -61,6 +67,7 @@
         self._log = context.log
         self._packets = packets
         self._cache = FlowCache(context.clock.monotonic())
+        self._last_packet = context.clock.monotonic()
         self._openings = Openings()
         self._searches = Searches()
         self._to_caller: Send | None = None
@@ -75,6 +82,7 @@
     def receive_packet(self, raw: bytes, _: HostPort) -> None:
         """Handle a caller's packet."""
         packet = self._packets.from_caller(raw)
+        self._last_packet = self._clock.monotonic()
         if packet is None:
             self.counters['malformed'] += 1
         elif packet.opens:
@@ -86,7 +94,7 @@
         """Handle an agent's answer."""
         now = self._clock.monotonic()
         self._directory.note_sign(agent, now)
-        self._directory.note_load(agent, verdict.load)
+        self._directory.note_load(agent, verdict.load, now)
         match verdict.outcome:
             case Outcome.OPENED:
                 self._openings.end(verdict.flow)
@@ -99,6 +107,16 @@
             case Outcome.REFUSED:
                 self._place_again(verdict.flow, agent)
 
+    @property
+    def quiet_seconds(self) -> float:
+        """Seconds since the last packet of a caller."""
+        return self._clock.monotonic() - self._last_packet
+
+    @property
+    def has_openings(self) -> bool:
+        """Whether new flows are under way, so that ticks matter."""
+        return len(self._openings) > 0
+
     def tick(self) -> None:
         """Try other agents for flows that were not answered in time."""
         now = self._clock.monotonic()
@@ -106,7 +124,9 @@
             silent = opening.tried[-1]
             self.counters['opening_timeout'] += 1
             self._log.flow('opening_timeout', opening.packet.flow, agent=silent)
-            self._place(opening.packet, opening.tried)
+            self._place(opening)
+        for waiting in self._openings.waiting():
+            self._place(waiting)
         self._searches.expire(now)
         self._cache.expire(now)
 
@@ -116,37 +136,46 @@
             self._forward(packet, agent, Purpose.OPEN)
             return
         opening = self._openings.get(packet.flow)
-        if opening is not None:
+        if opening is None:
+            now = self._clock.monotonic()
+            self._place(self._openings.begin(packet, now))
+        elif not self._openings.is_waiting(packet.flow):
             self._forward(packet, opening.tried[-1], Purpose.OPEN)
-            return
-        self._place(packet, ())
 
-    def _place(self, packet: Packet, tried: Sequence[str]) -> None:
+    def _place(self, opening: Opening) -> None:
+        packet = opening.packet
         service = self._state.fleet.service_of(packet.flow)
         if service is None:
+            self._openings.end(packet.flow)
             self._refuse_unrouted(packet)
             return
-        found = None
-        if len(tried) < MAX_TRIES:
-            found = choose(self._candidates(service), tried, self._rng)
+        candidates = self._candidates(service)
+        found = choose(candidates, opening.tried, self._rng)
         if found is None:
-            self._openings.end(packet.flow)
-            self._reset(packet.flow, packet.acknowledged, 'no upstream')
+            self._wait(opening)
             return
-        self._openings.note_attempt(
-            packet,
-            found.agent,
-            self._clock.monotonic(),
-        )
-        self._directory.note_load(found.agent, found.load + 1)
+        now = self._clock.monotonic()
+        self._openings.note_attempt(opening, found.agent, now)
+        self._directory.add_load(found.agent, now)
         self._forward(packet, found.agent, Purpose.OPEN)
 
+    def _wait(self, opening: Opening) -> None:
+        """Let a new flow wait for room, unless it has waited too long."""
+        flow = opening.packet.flow
+        route = self._state.fleet.routes.get(route_of(flow))
+        patience = route.timeout * WAIT_SHARE if route else 0
+        if self._clock.monotonic() - opening.began < patience:
+            self._openings.wait(opening)
+            return
+        self._openings.end(flow)
+        self._reset(flow, opening.packet.acknowledged, 'no upstream with room')
+
     def _place_again(self, flow: FlowKey, agent: str) -> None:
         opening = self._openings.get(flow)
         if opening is None:
             self._cache.forget(flow)
-        elif opening.tried[-1] == agent:
-            self._place(opening.packet, opening.tried)
+        elif opening.tried and opening.tried[-1] == agent:
+            self._place(opening)
 
     def _candidates(self, service: str) -> Sequence[Candidate]:
         fleet = self._state.fleet
@@ -161,12 +190,19 @@
         return Candidate(
             agent=entry.host,
             near=entry.data_centre == self._settings.data_centre,
-            load=peer.load if peer else 0,
+            load=self._load(peer, entry.slots),
             slots=entry.slots,
             cold=self._state.warm_up_left(entry) > 0,
             silent=self._is_silent(entry.host),
         )
 
+    def _load(self, peer: Peer | None, slots: int) -> float:
+        if peer is None:
+            return 0
+        if self._clock.monotonic() - peer.reported > REPORT_SECONDS:
+            return min(peer.load, backlog_limit(slots) - 1)
+        return peer.load
+
     def _is_silent(self, agent: str) -> bool:
         peer = self._directory.peers.get(agent)
         if peer is None:
--- a/src/ragwortpost/datapath/process/_gossip.py
+++ b/src/ragwortpost/datapath/process/_gossip.py
@@ -22,9 +22,9 @@
 )
 
 # Seconds between two digests to the same near peers.
-ROUND_SECONDS: Final = 0.25
+ROUND_SECONDS: Final = 0.4
 # Peers of other data centres and other entries told in each round.
-FAR_PEERS: Final = 3
+FAR_PEERS: Final = 2
 # Largest message sent as one datagram.
 DATAGRAM_BYTES: Final = 1300
 # Seconds that a peer may take to send what a process lacks.
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -141,19 +141,32 @@
 
 
 def _decode(datagram: bytes) -> Message | None:
-    kind = datagram[0]
-    if kind == _FORWARD:
-        _, purpose, service = _FORWARD_HEAD.unpack_from(datagram)
-        raw = datagram[_FORWARD_HEAD.size :]
-        return Forward(Purpose(purpose), service, raw)
-    if kind == _VERDICT:
-        head = _VERDICT_HEAD.unpack_from(datagram)
-        raw = datagram[_VERDICT_HEAD.size :]
-        _, outcome, load, revision, flow = head
-        return Verdict(Outcome(outcome), load, revision, flow, raw)
-    if kind == _DIGEST:
-        *fields, entries = msgpack.unpackb(memoryview(datagram)[1:])
-        return Digest(*fields, entries=tuple(entries))  # type: ignore[misc]
-    if kind == _CHANGES:
-        return decode_changes(datagram[1:]).unwrap_or(None)
-    return None
+    match datagram[0]:
+        case 1:
+            return _decode_forward(datagram)
+        case 2:
+            return _decode_verdict(datagram)
+        case 3:
+            *fields, entries = msgpack.unpackb(memoryview(datagram)[1:])
+            return Digest(*fields, tuple(entries))
+        case 4:
+            return decode_changes(datagram[1:]).unwrap_or(None)
+        case _:
+            return None
+
+
+def _decode_forward(datagram: bytes) -> Forward:
+    _, purpose, service = _FORWARD_HEAD.unpack_from(datagram)
+    raw = datagram[_FORWARD_HEAD.size :]
+    return Forward(Purpose(purpose), service, raw)
+
+
+def _decode_verdict(datagram: bytes) -> Verdict:
+    head = _VERDICT_HEAD.unpack_from(datagram)
+    return Verdict(
+        outcome=Outcome(head[1]),
+        load=head[2],
+        revision=head[3],
+        flow=head[4],
+        raw=datagram[_VERDICT_HEAD.size :],
+    )
--- a/src/ragwortpost/datapath/process/_run.py
+++ b/src/ragwortpost/datapath/process/_run.py
@@ -28,11 +28,17 @@
 )
 from ragwortpost.datapath.version import Changes
 
-# Seconds between two looks at what is overdue.
+# Seconds between two looks at what is overdue, while new flows are under way
+# and while none is.
 TICK_SECONDS: Final = 0.02
-# Seconds that an entry forwards on after it said that it is not ready: the
-# routers notice after two probes at half a second.
-ENTRY_LINGER_SECONDS: Final = 2.2
+IDLE_TICK_SECONDS: Final = 0.1
+# Seconds that an entry forwards on at least and at most after it said that it
+# is not ready: the routers notice after two probes at half a second, or later
+# while too few other entries are ready.
+ENTRY_LINGER_SECONDS: Final = 0.6
+MAX_ENTRY_LINGER_SECONDS: Final = 2.0
+# Seconds without callers' packets that show that the routers have noticed.
+ENTRY_QUIET_SECONDS: Final = 0.15
 # How often, and how many times, a stopping agent looks whether requests are
 # still in work; a second in all.
 POLL_SECONDS: Final = 0.05
@@ -119,11 +125,21 @@
         self._gossip.own.leaving = True
         self._gossip.tell_all()
         self._log.write('stopping', revision=self._state.revision)
-        if self._agent is None:
-            await asyncio.sleep(ENTRY_LINGER_SECONDS)
-            return
+        if self._entry is not None:
+            await self._drain_entry(self._entry)
+        if self._agent is not None:
+            await self._drain_agent(self._agent)
+
+    async def _drain_entry(self, entry: Entry) -> None:
+        await asyncio.sleep(ENTRY_LINGER_SECONDS)
+        left = MAX_ENTRY_LINGER_SECONDS - ENTRY_LINGER_SECONDS
+        while left > 0 and entry.quiet_seconds < ENTRY_QUIET_SECONDS:
+            await asyncio.sleep(POLL_SECONDS)
+            left -= POLL_SECONDS
+
+    async def _drain_agent(self, agent: Agent) -> None:
         for _ in range(AGENT_POLLS):
-            if not self._agent.load:
+            if not agent.load:
                 return
             await asyncio.sleep(POLL_SECONDS)
 
@@ -162,7 +178,9 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            entry = self._entry
+            busy = entry is not None and entry.has_openings
+            await asyncio.sleep(TICK_SECONDS if busy else IDLE_TICK_SECONDS)
             self._state.expire()
             if self._entry is not None:
                 self._entry.tick()
--- a/src/ragwortpost/datapath/version/_changes.py
+++ b/src/ragwortpost/datapath/version/_changes.py
@@ -116,5 +116,6 @@
     raise ValueError(f'unknown kind of document: {row[0]!r}')
 
 
-def _route(key: bytes, name: str, shares: Sequence[Any]) -> Route:
-    return Route(key, name, tuple(ServiceShare(*share) for share in shares))
+def _route(*fields: Any) -> Route:
+    *plain, shares = fields
+    return Route(*plain, tuple(ServiceShare(*one) for one in shares))
--- a/src/ragwortpost/datapath/version/_documents.py
+++ b/src/ragwortpost/datapath/version/_documents.py
@@ -24,6 +24,10 @@
     key: RouteKey
     # The operators' name for it.
     name: str
+    # Seconds after which callers give a request up.
+    timeout: float
+    # Seconds within which callers want a response.
+    target: float
     # Where new flows go; at least one.
     shares: tuple[ServiceShare, ...]
 
@@ -38,8 +42,8 @@
     connection_limit: int
     # Seconds for which an upstream is cold after a start.
     warm_up_seconds: float
-    # New flows a second that a cold upstream bears.
-    warm_up_rate: float
+    # New flows a second that a cold upstream bears; none if it bears all.
+    warm_up_rate: float | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ragwortpost/platform/_items.py
+++ b/src/ragwortpost/platform/_items.py
@@ -91,7 +91,13 @@
         )
     else:
         shares = (ServiceShare(fields['service'], 1.0),)
-    return Route(key, fields['name'], shares)
+    return Route(
+        key=key,
+        name=fields['name'],
+        timeout=fields['timeoutMs'] / _MS,
+        target=fields['targetLatencyMs'] / _MS,
+        shares=shares,
+    )
 
 
 def _service(fields: Mapping[str, Any]) -> ServicePolicy:
@@ -99,7 +105,8 @@
         name=fields['name'],
         connection_limit=int(fields['maxConns']),
         warm_up_seconds=float(fields['warmupS']),
-        warm_up_rate=float(fields['warmupPerS']),
+        # Zero stands for a service that states no rate.
+        warm_up_rate=fields['warmupPerS'] or None,
     )
 
 
