--- a/src/ragwortpost/cli/_platform_command.py
+++ b/src/ragwortpost/cli/_platform_command.py
@@ -1,13 +1,11 @@
 """Runs a process on the users' platform."""
 
 import asyncio
-import logging as standard_logging
+import logging
 import os
 import sys
 from pathlib import Path
 
-from absl import logging
-from absl.flags import FLAGS
 from result import Err, Ok
 
 from ragwortpost.cli._exit_codes import ExitCode
@@ -41,9 +39,8 @@
 
 
 def _log_to_standard_output() -> None:
-    FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    output = logging.get_absl_handler()
-    output.python_handler.stream = sys.stdout
-    output.setFormatter(standard_logging.Formatter('%(message)s'))
+    logging.basicConfig(
+        stream=sys.stdout,
+        level=logging.INFO,
+        format='%(message)s',
+    )
--- a/src/ragwortpost/datapath/connection/_searches.py
+++ b/src/ragwortpost/datapath/connection/_searches.py
@@ -48,15 +48,16 @@
         agents: Iterable[str],
         now: float,
     ) -> Collection[str]:
-        """Return the agents that a packet of an unknown flow goes to."""
+        """Return the agents that a packet of an unknown flow goes to.
+
+        Returns none if all of ``agents`` have denied the flow.
+        """
         search = self._searches.get(packet.flow)
         if search is None:
             search = Search(set(), set(), packet.acknowledged, now)
             self._searches[packet.flow] = search
         search.expected = packet.acknowledged
-        search.open.update(
-            agent for agent in agents if agent not in search.denied
-        )
+        search.open = set(agents) - search.denied
         return tuple(search.open)
 
     def deny(self, flow: FlowKey, agent: str) -> Search | None:
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -13,7 +13,6 @@
     Openings,
     Packet,
     PacketFormat,
-    Search,
     Searches,
     backlog_limit,
     caller_of,
@@ -36,6 +35,9 @@
 # Seconds without a sign of life after which an agent gets no new flows while
 # others can take them: four rounds of digests.
 SILENT_SECONDS: Final = 1.0
+# Seconds without a sign of life after which an agent that the store does not
+# name is taken to be gone with its upstream.
+GONE_SECONDS: Final = 2.0
 # Seconds for an agent to answer a new flow before another one is tried; far
 # above an answer's usual time and below a caller's own repeat.
 OPENING_SECONDS: Final = 0.08
@@ -227,8 +229,11 @@
         if service is None:
             return
         now = self._clock.monotonic()
-        asked = self._searches.ask(packet, self._holders(service), now)
+        holders = self._holders(service)
+        asked = self._searches.ask(packet, holders, now)
         self.counters['searched'] += 1
+        if holders and not asked:
+            self._end_search(packet.flow, packet.acknowledged)
         for agent in asked:
             self._forward(packet, agent, Purpose.FIND)
 
@@ -237,14 +242,16 @@
         upstreams = self._state.fleet.upstreams.get(service, ())
         hosts = {entry.host: None for entry in upstreams}
         for host, peer in self._directory.peers.items():
-            if self._is_agent_of(peer, service):
+            if self._is_holder(peer, service):
                 hosts[host] = None
         return tuple(hosts)
 
-    def _is_agent_of(self, peer: Peer, service: str) -> bool:
+    def _is_holder(self, peer: Peer, service: str) -> bool:
+        """Return whether a peer is an agent of a service and lives."""
         if peer.digest.role != NodeRole.AGENT.value:
             return False
-        return peer.digest.service == service
+        silence = self._clock.monotonic() - peer.heard
+        return peer.digest.service == service and silence < GONE_SECONDS
 
     def _note_not_held(self, verdict: Verdict, agent: str) -> None:
         if verdict.raw:
@@ -255,11 +262,11 @@
                 self._search(packet)
         unheld = self._searches.deny(verdict.flow, agent)
         if unheld is not None:
-            self._end_search(verdict.flow, unheld)
+            self._end_search(verdict.flow, unheld.expected)
 
-    def _end_search(self, flow: FlowKey, search: Search) -> None:
+    def _end_search(self, flow: FlowKey, sequence: int) -> None:
         self._searches.end(flow)
-        self._reset(flow, search.expected, 'held by no upstream')
+        self._reset(flow, sequence, 'held by no upstream')
 
     def _refuse_unrouted(self, packet: Packet) -> None:
         if self._state.age < TRUSTED_VIEW_SECONDS:
--- a/src/ragwortpost/datapath/process/_events.py
+++ b/src/ragwortpost/datapath/process/_events.py
@@ -1,10 +1,9 @@
 """Structured log lines: one JSON object a line, with fixed field names."""
 
 import json
+import logging
 from typing import Final
 
-from absl import logging
-
 from ragwortpost._clock import Clock
 from ragwortpost.datapath.connection import FlowKey, describe_flow
 from ragwortpost.datapath.version import Configuration, Record, UpstreamEntry
@@ -12,6 +11,8 @@
 # Lines of one kind within one second; more are counted and not written.
 LINES_PER_SECOND: Final = 20
 
+_logger = logging.getLogger('ragwortpost')
+
 
 class EventLog:
     """Writes events, at most a few a second of each kind."""
@@ -31,7 +32,7 @@
         self._written[event] = count
         if count <= LINES_PER_SECOND:
             line = {'t': round(now, 3), 'event': event, **fields}
-            logging.info('%s', json.dumps(line))
+            _logger.info('%s', json.dumps(line))
 
     def flow(self, event: str, flow: FlowKey, **fields: object) -> None:
         """Write a line about one flow."""
@@ -66,7 +67,7 @@
             if count > LINES_PER_SECOND:
                 suppressed = count - LINES_PER_SECOND
                 line = {'event': 'suppressed', 'kind': event}
-                logging.info(
+                _logger.info(
                     '%s',
                     json.dumps({**line, 'lines': suppressed}),
                 )
--- a/src/ragwortpost/datapath/process/_follower.py
+++ b/src/ragwortpost/datapath/process/_follower.py
@@ -28,6 +28,11 @@
 READER_SILENCE_SECONDS: Final = 1.2
 # Seconds that each place in the order waits longer before it reads too.
 PLACE_SECONDS: Final = 0.3
+# Seconds without enough readers before an agent reads; entries go first.
+AGENT_PATIENCE_SECONDS: Final = 1.5
+# Seconds between a change and the next watch, so that changes that follow each
+# other closely come in one answer.
+WATCH_PAUSE_SECONDS: Final = 0.1
 # Seconds between two looks at who reads.
 LOOK_SECONDS: Final = 0.2
 # Shortest and longest pause after a call that failed.
@@ -157,7 +162,7 @@
         places = places_before(self._directory, self._host, now)
         if not self._is_entry:
             # Agents read when no entry is left that could.
-            places += READERS
+            return AGENT_PATIENCE_SECONDS + PLACE_SECONDS * places
         return PLACE_SECONDS * places
 
     def _stop_reading(self) -> None:
@@ -183,6 +188,7 @@
         match await call:
             case Ok(changes):
                 self._merge(changes)
+                await asyncio.sleep(WATCH_PAUSE_SECONDS)
             case Err(HistoryLost() as lost):
                 self._log.write('history_lost', revision=lost.revision)
                 self._lost_history = True
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -147,8 +147,8 @@
         case 2:
             return _decode_verdict(datagram)
         case 3:
-            *fields, entries = msgpack.unpackb(memoryview(datagram)[1:])
-            return Digest(*fields, tuple(entries))
+            fields = msgpack.unpackb(memoryview(datagram)[1:], use_list=False)
+            return Digest(*fields)
         case 4:
             return decode_changes(datagram[1:]).unwrap_or(None)
         case _:
--- a/src/ragwortpost/datapath/version/_changes.py
+++ b/src/ragwortpost/datapath/version/_changes.py
@@ -105,7 +105,7 @@
         case (1, version, routes, services, idle):
             return Configuration(
                 version,
-                tuple(_route(*fields) for fields in routes),
+                tuple(_route(fields) for fields in routes),
                 tuple(ServicePolicy(*fields) for fields in services),
                 idle,
             )
@@ -116,6 +116,11 @@
     raise ValueError(f'unknown kind of document: {row[0]!r}')
 
 
-def _route(*fields: Any) -> Route:
-    *plain, shares = fields
-    return Route(*plain, tuple(ServiceShare(*one) for one in shares))
+def _route(fields: Sequence[Any]) -> Route:
+    return Route(
+        key=fields[0],
+        name=fields[1],
+        timeout=fields[2],
+        target=fields[3],
+        shares=tuple(ServiceShare(*share) for share in fields[4]),
+    )
--- a/src/ragwortpost/platform/_store.py
+++ b/src/ragwortpost/platform/_store.py
@@ -1,12 +1,12 @@
 """Reads the platform's store."""
 
 import json
+import logging
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 from urllib.parse import urlencode
 
 import httptools
-from absl import logging
 from result import Err, Ok, Result
 
 from ragwortpost._datagrams import HostPort
@@ -19,6 +19,7 @@
     decode_item,
 )
 
+_logger = logging.getLogger('ragwortpost')
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
@@ -158,7 +159,7 @@
         return decode_item(row)
     except UnusableItemError as error:
         key = row.get('key')
-        logging.warning('event=item_unusable key=%r why=%s', key, error)
+        _logger.warning('event=item_unusable key=%r why=%s', key, error)
     if not key or key == CONFIGURATION_KEY:
         # The last configuration that could be used stays in force.
         return None
