--- a/src/ragwortpost/cli/_platform_command.py
+++ b/src/ragwortpost/cli/_platform_command.py
@@ -14,7 +14,7 @@
     SETTINGS_VARIABLE,
     PlatformPacketFormat,
     PlatformStore,
-    parse_settings,
+    SettingsFile,
     serve_readiness,
 )
 
@@ -23,18 +23,23 @@
     """Run the role that the platform's settings file describes."""
     _log_to_standard_output()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
-    match parse_settings(path.read_bytes()):
+    source = SettingsFile(path)
+    match source.load():
         case Err(problem):
             sys.stderr.write(f'ragwortpost: {path}: {problem}\n')
             return ExitCode.REJECTED
         case Ok(settings):
-            asyncio.run(_run(settings))
+            asyncio.run(_run(settings, source))
             return ExitCode.DONE
 
 
-async def _run(settings: NodeSettings) -> None:
-    store = PlatformStore(settings.store.address)
-    ports = PlatformPorts(PlatformPacketFormat(), store, serve_readiness)
+async def _run(settings: NodeSettings, source: SettingsFile) -> None:
+    ports = PlatformPorts(
+        PlatformPacketFormat(),
+        PlatformStore(settings.store.address),
+        serve_readiness,
+        source,
+    )
     await run_node(settings, ports)
 
 
--- /dev/null
+++ b/src/ragwortpost/datapath/connection/tests/packets.py
@@ -0,0 +1,81 @@
+"""Packets for tests, in a format of their own."""
+
+from dataclasses import replace
+
+from ragwortpost.datapath.connection import FlowKey, Packet
+
+CALLER_PORT = 40001
+
+
+def flow_key(number: int = 0, port: int = 443) -> FlowKey:
+    """Return one of many flows to the same service."""
+    caller = bytes((100, 64, 0, 7))
+    ports = (CALLER_PORT + number).to_bytes(2) + port.to_bytes(2)
+    return caller + bytes((198, 18, 0, 1)) + ports
+
+
+def caller_packet(flow: FlowKey, **changes: object) -> Packet:
+    """Return a caller's packet; ``changes`` replace its fields."""
+    plain = Packet(flow, False, False, False, False, False, 0, 100, 501, b'')
+    changed = replace(plain, **changes)  # type: ignore[arg-type]
+    return replace(changed, raw=encode(changed))
+
+
+def opening(flow: FlowKey) -> Packet:
+    """Return the packet that asks to open a flow."""
+    return caller_packet(flow, opens=True, acknowledged=0)
+
+
+def accepting(flow: FlowKey, sequence: int = 500) -> Packet:
+    """Return the packet by which an upstream opens a flow."""
+    return caller_packet(flow, accepts=True, sequence=sequence)
+
+
+def encode(packet: Packet) -> bytes:
+    """Return the packet as bytes that :class:`TestFormat` reads."""
+    flags = (
+        packet.opens,
+        packet.accepts,
+        packet.finishes,
+        packet.resets,
+        packet.bounced,
+    )
+    numbers = (packet.length, packet.sequence, packet.acknowledged)
+    return (
+        packet.flow
+        + bytes(flags)
+        + b''.join(number.to_bytes(8) for number in numbers)
+    )
+
+
+class PlainFormat:
+    """The format of the test packets."""
+
+    def from_caller(self, raw: bytes) -> Packet | None:
+        """Return a packet, none if it is too short."""
+        if len(raw) != 41:
+            return None
+        return Packet(
+            flow=raw[:12],
+            opens=bool(raw[12]),
+            accepts=bool(raw[13]),
+            finishes=bool(raw[14]),
+            resets=bool(raw[15]),
+            bounced=bool(raw[16]),
+            length=int.from_bytes(raw[17:25]),
+            sequence=int.from_bytes(raw[25:33]),
+            acknowledged=int.from_bytes(raw[33:41]),
+            raw=raw,
+        )
+
+    def from_upstream(self, raw: bytes) -> Packet | None:
+        """Return a packet; a returned one as its caller sent it."""
+        packet = self.from_caller(raw)
+        if packet is None or not packet.bounced:
+            return packet
+        sent = encode(replace(packet, bounced=False))
+        return replace(packet, raw=sent)
+
+    def reset(self, flow: FlowKey, sequence: int) -> bytes:
+        """Return a reset."""
+        return caller_packet(flow, resets=True, sequence=sequence).raw
--- /dev/null
+++ b/src/ragwortpost/datapath/connection/tests/test_held_flows.py
@@ -0,0 +1,113 @@
+"""Tests of what an agent knows of its upstream's flows."""
+
+import pytest
+
+from ragwortpost.datapath.connection import Claim, HeldFlows
+from ragwortpost.datapath.connection.tests.packets import (
+    accepting,
+    caller_packet,
+    flow_key,
+)
+
+FLOW = flow_key()
+IDLE = 30.0
+
+
+def held_flows(*, complete: bool = True) -> HeldFlows:
+    return HeldFlows(complete, IDLE)
+
+
+class TestClaim:
+    """Whose flow a caller's packet belongs to."""
+
+    def test_a_flow_that_was_never_seen_is_not_held(self) -> None:
+        assert held_flows().claim(caller_packet(FLOW), 0) is Claim.NOT_HELD
+
+    def test_after_a_restart_only_the_upstream_can_tell(self) -> None:
+        flows = held_flows(complete=False)
+        assert flows.claim(caller_packet(FLOW), 0) is Claim.UNKNOWN
+
+    def test_a_returned_packet_settles_it(self) -> None:
+        flows = held_flows(complete=False)
+        flows.note_returned(caller_packet(FLOW), 0)
+        assert flows.claim(caller_packet(FLOW), 1) is Claim.NOT_HELD
+
+    def test_what_the_upstream_sends_settles_it(self) -> None:
+        flows = held_flows(complete=False)
+        assert flows.note_upstream(caller_packet(FLOW, length=9), 0)
+        assert flows.claim(caller_packet(FLOW), 1) is Claim.HELD
+
+    @pytest.mark.parametrize(
+        ('acknowledged', 'claim'),
+        [
+            (501, Claim.HELD),
+            (2000, Claim.HELD),
+            (500, Claim.NOT_HELD),
+            (499, Claim.NOT_HELD),
+            (1 << 31, Claim.NOT_HELD),
+        ],
+    )
+    def test_a_handshake_answered_by_two_upstreams(
+        self,
+        acknowledged: int,
+        claim: Claim,
+    ) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW, sequence=500), 0)
+        packet = caller_packet(FLOW, acknowledged=acknowledged)
+        assert flows.claim(packet, 0) is claim
+
+    def test_sequence_numbers_wrap_around(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW, sequence=(1 << 32) - 1), 0)
+        packet = caller_packet(FLOW, acknowledged=0)
+        assert flows.claim(packet, 0) is Claim.HELD
+
+
+class TestLoad:
+    """How many requests the upstream has at hand."""
+
+    def test_a_request_counts_until_its_response_begins(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        flows.claim(caller_packet(FLOW, length=50), 0)
+        assert flows.load(1) == 1
+        flows.note_upstream(caller_packet(FLOW, length=90), 0)
+        assert flows.load(1) == 0
+
+    def test_an_accepted_flow_counts_before_its_first_request(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        assert flows.load(0.1) == 1
+        assert flows.load(0.5) == 0
+
+    def test_a_flow_that_ends_counts_no_more(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        flows.claim(caller_packet(FLOW, length=50), 0)
+        flows.claim(caller_packet(FLOW, resets=True), 0)
+        assert flows.load(1) == 0
+
+    def test_a_returned_packet_ends_its_request(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        flows.claim(caller_packet(FLOW, length=50), 0)
+        assert flows.note_returned(caller_packet(FLOW), 0) is not None
+        assert flows.load(1) == 0
+
+
+class TestExpiry:
+    """What is forgotten, and when."""
+
+    def test_a_silent_flow_is_forgotten(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        flows.expire(IDLE + 1)
+        assert len(flows) == 0
+
+    def test_a_flow_with_packets_stays(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        flows.claim(caller_packet(FLOW), IDLE)
+        flows.expire(IDLE + 1)
+        assert len(flows) == 1
--- /dev/null
+++ b/src/ragwortpost/datapath/connection/tests/test_placement.py
@@ -0,0 +1,98 @@
+"""Tests of the choice of an upstream for a new flow."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from ragwortpost.datapath.connection import (
+    Candidate,
+    backlog_limit,
+    choose,
+)
+
+SERVICE_SECONDS = 0.035
+SLOTS = 3
+FLOWS = 300
+IDLE = Candidate('10.0.0.1', True, 0, 2, False, False)
+
+
+def other(**changes: object) -> Candidate:
+    return replace(IDLE, agent='10.0.0.2', **changes)  # type: ignore[arg-type]
+
+
+class TestChoice:
+    """Which of two candidates is taken."""
+
+    @pytest.mark.parametrize(
+        ('worse', 'better'),
+        [
+            (replace(IDLE, load=1), other()),
+            (replace(IDLE, near=False), other()),
+            (replace(IDLE, near=False), other(load=0.5)),
+            (other(load=3), replace(IDLE, near=False)),
+            (replace(IDLE, cold=True), other()),
+            (replace(IDLE, silent=True), other(load=7, near=False)),
+            (replace(IDLE, load=2, slots=2), other(load=2, slots=4)),
+        ],
+    )
+    def test_the_shorter_wait_wins(
+        self,
+        worse: Candidate,
+        better: Candidate,
+    ) -> None:
+        assert choose([worse, better], (), random.Random(1)) == better
+
+    def test_one_that_was_tried_is_not_taken_again(self) -> None:
+        assert choose([IDLE], [IDLE.agent], random.Random(1)) is None
+
+    def test_a_full_queue_gets_nothing(self) -> None:
+        full = replace(IDLE, load=backlog_limit(IDLE.slots))
+        assert choose([full], (), random.Random(1)) is None
+
+    def test_equal_candidates_share_the_flows(self) -> None:
+        rng = random.Random(1)
+        chosen = {choose([IDLE, other()], (), rng) for _ in range(50)}
+        assert chosen == {IDLE, other()}
+
+
+class TestRush:
+    """The load after a mass restart: 300 flows at once, 7 upstreams.
+
+    A request takes 35 ms in one of 3 slots. Flows that find all queues full
+    wait and are placed as responses make room.
+    """
+
+    def play(self, *, bounded: bool) -> tuple[int, float]:
+        """Return the longest queue and the time of the last response."""
+        rng = random.Random(7)
+        loads = dict.fromkeys(range(7), 0)
+        waiting, longest, now = FLOWS, 0, 0.0
+        while waiting or any(loads.values()):
+            while waiting:
+                candidates = [
+                    Candidate(str(one), True, load, SLOTS, True, False)
+                    for one, load in loads.items()
+                ]
+                chosen = choose(candidates, (), rng)
+                if chosen is None and bounded:
+                    break
+                # The version before hashed flows over the upstreams up.
+                one = int(chosen.agent) if bounded and chosen else 0
+                loads[one] += 1
+                waiting -= 1
+                longest = max(longest, loads[one])
+            now += SERVICE_SECONDS
+            for one, load in loads.items():
+                loads[one] = max(0, load - SLOTS)
+        return longest, now
+
+    def test_no_queue_exceeds_what_an_upstream_bears(self) -> None:
+        longest, last = self.play(bounded=True)
+        assert longest <= backlog_limit(SLOTS)
+        assert last < 0.8
+
+    def test_without_the_bound_the_first_upstream_gets_all(self) -> None:
+        longest, last = self.play(bounded=False)
+        assert longest == FLOWS
+        assert last > 0.8
--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -36,10 +36,15 @@
     def __init__(self, host: str, seeds: Sequence[str]) -> None:
         """Start with the seeds, of which nothing is known yet."""
         self._host = host
-        self._seeds = tuple(seed for seed in seeds if seed != host)
+        self._seeds: Sequence[str] = ()
+        self.use_seeds(seeds)
         self._peers: dict[str, Peer] = {}
         self._named: dict[str, float] = {}
 
+    def use_seeds(self, seeds: Sequence[str]) -> None:
+        """Replace the addresses that are tried before others are known."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._host)
+
     @property
     def peers(self) -> dict[str, Peer]:
         """All processes heard of, by address."""
--- a/src/ragwortpost/datapath/process/_run.py
+++ b/src/ragwortpost/datapath/process/_run.py
@@ -26,6 +26,7 @@
     NodeRole,
     NodeSettings,
 )
+from ragwortpost.datapath.process._reload import Reloader, SettingsSource
 from ragwortpost.datapath.version import Changes
 
 # Seconds between two looks at what is overdue, while new flows are under way
@@ -60,6 +61,8 @@
     store: StorePort
     # Answers whether the process is ready.
     serve_readiness: ServeReadiness
+    # Where the settings come from, for changes while the process runs.
+    settings: SettingsSource
 
 
 class Node:
@@ -82,6 +85,7 @@
         side = settings.upstream_side
         self._role = NodeRole.AGENT if side else NodeRole.ENTRY
         self._follower = Follower(context, ports.store, self._gossip)
+        self._reloader = Reloader(context, ports.settings)
         self._agent: Agent | None = None
         self._entry: Entry | None = None
         if side is None:
@@ -114,12 +118,17 @@
             self._gossip.run,
             self._follower.run,
             self._follower.run_probe,
+            self._reloader.run,
             self._run_ticks,
         ):
             task = asyncio.create_task(self._keep_running(work))
             stack.callback(task.cancel)
         self._log.write('started', name=settings.name, role=self._role.value)
 
+    def reload(self) -> None:
+        """Load the settings again."""
+        self._reloader.ask()
+
     async def drain(self) -> None:
         """Leave service: no new work, then wait for what is under way."""
         self._gossip.own.leaving = True
@@ -204,6 +213,7 @@
         loop.add_signal_handler(number, stop.set)
     async with AsyncExitStack() as stack:
         node = Node(SystemClock(), settings, ports, random.Random())
+        loop.add_signal_handler(signal.SIGHUP, node.reload)
         await node.open(stack)
         await stop.wait()
         await node.drain()
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -0,0 +1,259 @@
+"""Entries, agents and upstreams joined in memory, under a clock by hand."""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import UTC, datetime
+
+from ragwortpost._datagrams import HostPort
+from ragwortpost.datapath.connection import FlowKey, Packet
+from ragwortpost.datapath.connection.tests.packets import (
+    PlainFormat,
+    accepting,
+    caller_packet,
+    encode as encode_packet,
+)
+from ragwortpost.datapath.process import (
+    NodeSettings,
+    StoreSettings,
+    UpstreamSide,
+)
+from ragwortpost.datapath.process._agent import Agent
+from ragwortpost.datapath.process._context import NodeContext, make_context
+from ragwortpost.datapath.process._entry import Entry
+from ragwortpost.datapath.process._messages import (
+    Digest,
+    Forward,
+    Verdict,
+    decode,
+)
+from ragwortpost.datapath.version import Changes, Record, UpstreamEntry
+from ragwortpost.datapath.version.tests.documents import (
+    configuration_record,
+    upstream,
+    upstream_record,
+)
+
+ENTRY = '10.0.1.1'
+UPSTREAM_PORT = 8000
+
+
+class ManualClock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def monotonic(self) -> float:
+        return self.time
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(self.time, UTC)
+
+
+def settings_of(host: str, entry: UpstreamEntry | None) -> NodeSettings:
+    side = None
+    if entry is not None:
+        side = UpstreamSide(entry.service, (host, UPSTREAM_PORT), (host, 8001))
+    return NodeSettings(
+        name=host,
+        host=host,
+        data_centre=entry.data_centre if entry else 'north',
+        readiness=(host, 8002),
+        packet_port=8003,
+        peer_port=8004,
+        seeds=(),
+        store=StoreSettings(('10.0.9.9', 8005), 100.0),
+        first_start=True,
+        heartbeat_seconds=1.0,
+        stop_seconds=6.0,
+        upstream_side=side,
+    )
+
+
+def digest_of(entry: UpstreamEntry, **changes: object) -> Digest:
+    plain = Digest(
+        asks=False,
+        role='agent',
+        data_centre=entry.data_centre,
+        service=entry.service,
+        revision=0,
+        view_age_ms=0,
+        reading=False,
+        leaving=False,
+        load=0,
+        entries=(),
+    )
+    return replace(plain, **changes)  # type: ignore[arg-type]
+
+
+class FakeUpstream:
+    """An upstream: it accepts flows and returns packets of unknown ones."""
+
+    def __init__(self, outbound: Callable[[bytes, HostPort], None]) -> None:
+        self.outbound = outbound
+        self.flows: dict[FlowKey, int] = {}
+        self.received: list[Packet] = []
+        self.accepts = True
+        self.answers = True
+
+    def receive(self, raw: bytes) -> None:
+        packet = PlainFormat().from_caller(raw)
+        assert packet is not None
+        self.received.append(packet)
+        if not self.answers:
+            return
+        if packet.opens and self.accepts:
+            sequence = 500 + 1000 * len(self.flows)
+            self.flows.setdefault(packet.flow, sequence)
+            self.send(accepting(packet.flow, self.flows[packet.flow]))
+        elif packet.flow in self.flows:
+            self.send(caller_packet(packet.flow, length=10))
+        else:
+            self.send(replace(packet, bounced=True))
+
+    def send(self, packet: Packet) -> None:
+        self.outbound(encode_packet(packet), ('upstream', 0))
+
+
+class Network:
+    """One entry by default, and an agent with its upstream for each entry."""
+
+    def __init__(self, *entries: UpstreamEntry) -> None:
+        self.clock = ManualClock()
+        self.entries = entries or (upstream(1), upstream(2), upstream(3))
+        self.contexts: dict[str, NodeContext] = {}
+        self.entry_nodes: dict[str, Entry] = {}
+        self.agents: dict[str, Agent] = {}
+        self.upstreams: dict[str, FakeUpstream] = {}
+        self.dark: set[str] = set()
+        self.to_callers: list[Packet] = []
+        self.sent: list[tuple[str, str]] = []
+        self.revision = 0
+        self.add_entry(ENTRY)
+        for entry in self.entries:
+            self.start_agent(entry)
+        self.publish(configuration_record(1))
+        for number, entry in enumerate(self.entries):
+            self.publish(upstream_record(2 + number, entry))
+        self.hear_all()
+
+    @property
+    def entry(self) -> Entry:
+        return self.entry_nodes[ENTRY]
+
+    @property
+    def resets(self) -> list[Packet]:
+        return [packet for packet in self.to_callers if packet.resets]
+
+    def add_entry(self, host: str) -> None:
+        context = self._context(host, None)
+        node = Entry(context, PlainFormat())
+        node.open(self._send_to_caller, self._peer_sender(host))
+        self.entry_nodes[host] = node
+        self._catch_up(context)
+        self.hear_all()
+
+    def start_agent(self, entry: UpstreamEntry, *, again: bool = False) -> None:
+        host = entry.host
+        context = self._context(host, entry, first_start=not again)
+        side = context.settings.upstream_side
+        assert side is not None
+        agent = Agent(context, side, PlainFormat())
+        agent.open(self._outbound(host), self._peer_sender(host), bool)
+        self.agents[host] = agent
+        if host in self.upstreams:
+            self.upstreams[host].outbound = agent.receive_outbound
+        else:
+            self.upstreams[host] = FakeUpstream(agent.receive_outbound)
+        self._catch_up(context)
+
+    def publish(self, record: Record) -> None:
+        self.revision += 1
+        numbered = replace(record, revision=self.revision)
+        changes = Changes(self.revision - 1, self.revision, (numbered,))
+        for context in self.contexts.values():
+            if context.state.revision == self.revision - 1:
+                context.state.merge(changes, 'test')
+                context.state.confirm(self.revision, 0)
+
+    def hear_all(self) -> None:
+        now = self.clock.monotonic()
+        for host in self.entry_nodes:
+            directory = self.contexts[host].directory
+            for entry in self.entries:
+                if entry.host not in self.dark:
+                    directory.note_digest(entry.host, digest_of(entry), now)
+
+    def pass_time(self, seconds: float) -> None:
+        self.clock.time += seconds
+        self.hear_all()
+        for node in self.entry_nodes.values():
+            node.tick()
+        for agent in self.agents.values():
+            agent.tick()
+
+    def call(self, packet: Packet, entry: str = ENTRY) -> None:
+        self.entry_nodes[entry].receive_packet(packet.raw, ('caller', 0))
+
+    def holder(self, flow: FlowKey) -> str:
+        holders = [
+            host for host, one in self.upstreams.items() if flow in one.flows
+        ]
+        assert len(holders) == 1
+        return holders[0]
+
+    def reached(self, flow: FlowKey) -> list[str]:
+        return [
+            host
+            for host, one in self.upstreams.items()
+            if any(packet.flow == flow for packet in one.received)
+        ]
+
+    def _context(
+        self,
+        host: str,
+        entry: UpstreamEntry | None,
+        *,
+        first_start: bool = True,
+    ) -> NodeContext:
+        settings = replace(settings_of(host, entry), first_start=first_start)
+        context = make_context(self.clock, settings, random.Random(3))
+        self.contexts[host] = context
+        return context
+
+    def _catch_up(self, context: NodeContext) -> None:
+        for other in self.contexts.values():
+            if other.state.revision > context.state.revision:
+                context.state.merge(other.state.since(0), 'test')
+        context.state.confirm(context.state.revision, 0)
+
+    def _peer_sender(self, sender: str) -> Callable[[bytes, HostPort], bool]:
+        def send(datagram: bytes, address: HostPort) -> bool:
+            self.sent.append((sender, address[0]))
+            if address[0] in self.dark or sender in self.dark:
+                return True
+            match decode(datagram):
+                case Forward() as forward:
+                    self.agents[address[0]].receive_forward(forward, sender)
+                case Verdict() as verdict:
+                    entry = self.entry_nodes[address[0]]
+                    entry.receive_verdict(verdict, sender)
+            return True
+
+        return send
+
+    def _outbound(self, host: str) -> Callable[[bytes, HostPort], bool]:
+        def send(datagram: bytes, address: HostPort) -> bool:
+            if address == (host, UPSTREAM_PORT):
+                self.upstreams[host].receive(datagram)
+                return True
+            return self._send_to_caller(datagram, address)
+
+        return send
+
+    def _send_to_caller(self, datagram: bytes, _: HostPort) -> bool:
+        packet = PlainFormat().from_caller(datagram)
+        assert packet is not None
+        self.to_callers.append(packet)
+        return True
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -0,0 +1,229 @@
+"""Tests of entries and agents together: who gets each packet of a flow."""
+
+from dataclasses import replace
+
+import pytest
+
+from ragwortpost.datapath.connection.tests.packets import (
+    caller_packet,
+    flow_key,
+    opening,
+)
+from ragwortpost.datapath.process.tests.network import ENTRY, Network
+from ragwortpost.datapath.version import Record, TakenOut
+from ragwortpost.datapath.version.tests.documents import (
+    upstream,
+    upstream_record,
+)
+
+FLOW = flow_key()
+SECOND_ENTRY = '10.0.1.2'
+
+
+def opened(network: Network) -> str:
+    """Open a flow and return the address of the upstream that holds it."""
+    network.call(opening(FLOW))
+    holder = network.holder(FLOW)
+    send_data(network, ENTRY)
+    return holder
+
+
+def send_data(network: Network, entry: str) -> None:
+    sequence = network.upstreams[network.holder(FLOW)].flows[FLOW]
+    network.call(
+        caller_packet(FLOW, length=20, acknowledged=sequence + 1),
+        entry,
+    )
+
+
+class TestEstablishedFlows:
+    """Packets of an open flow reach its upstream, and no other."""
+
+    def test_through_the_entry_that_opened_it(self) -> None:
+        network = Network()
+        holder = opened(network)
+        assert network.reached(FLOW) == [holder]
+        assert network.to_callers[-1].length == 10
+
+    def test_through_an_entry_that_never_saw_it(self) -> None:
+        network = Network()
+        holder = opened(network)
+        network.add_entry(SECOND_ENTRY)
+        send_data(network, SECOND_ENTRY)
+        send_data(network, SECOND_ENTRY)
+        assert network.reached(FLOW) == [holder]
+        assert len(network.upstreams[holder].received) == 4
+        assert not network.resets
+
+    def test_after_a_restart_of_its_agent(self) -> None:
+        network = Network()
+        holder = opened(network)
+        entry = next(one for one in network.entries if one.host == holder)
+        network.start_agent(entry, again=True)
+        network.add_entry(SECOND_ENTRY)
+        send_data(network, SECOND_ENTRY)
+        assert network.reached(FLOW) == [holder]
+        assert len(network.upstreams[holder].received) == 3
+        assert not network.resets
+
+    def test_after_a_restart_of_all_agents_others_return_its_packet(
+        self,
+    ) -> None:
+        network = Network()
+        holder = opened(network)
+        for entry in network.entries:
+            network.start_agent(entry, again=True)
+        network.add_entry(SECOND_ENTRY)
+        for _ in range(5):
+            send_data(network, SECOND_ENTRY)
+        others = [one for one in network.upstreams if one != holder]
+        for other in others:
+            assert len(network.upstreams[other].received) == 1
+        assert not network.resets
+
+    def test_while_its_upstream_leaves(self) -> None:
+        network = Network()
+        holder = opened(network)
+        entry = next(one for one in network.entries if one.host == holder)
+        leaving = replace(entry, leaving=True)
+        network.publish(upstream_record(0, leaving))
+        network.add_entry(SECOND_ENTRY)
+        send_data(network, SECOND_ENTRY)
+        assert len(network.upstreams[holder].received) == 3
+        assert not network.resets
+
+
+class TestResets:
+    """A flow is reset only if nobody can hold it."""
+
+    def test_one_that_nobody_holds_is_reset_at_once(self) -> None:
+        network = Network()
+        network.call(caller_packet(FLOW, length=20, acknowledged=77))
+        assert [packet.sequence for packet in network.resets] == [77]
+        assert not network.reached(FLOW)
+
+    def test_not_while_an_agent_is_silent(self) -> None:
+        network = Network()
+        network.dark.add(network.entries[0].host)
+        for _ in range(10):
+            network.call(caller_packet(FLOW, length=20))
+            network.pass_time(0.2)
+        assert not network.resets
+
+    def test_once_the_silent_agent_has_left_the_store(self) -> None:
+        network = Network()
+        gone = network.entries[0]
+        network.dark.add(gone.host)
+        network.call(caller_packet(FLOW, length=20))
+        network.publish(Record(f'upstream/{gone.ident}', 0, None))
+        for _ in range(6):
+            network.pass_time(1.0)
+        network.contexts[ENTRY].state.expire()
+        network.call(caller_packet(FLOW, length=20))
+        assert len(network.resets) == 1
+
+    def test_not_without_a_route_while_the_view_is_old(self) -> None:
+        network = Network()
+        packet = caller_packet(flow_key(port=999), length=20)
+        network.call(packet)
+        assert len(network.resets) == 1
+        network.pass_time(10)
+        network.call(packet)
+        assert len(network.resets) == 1
+
+    def test_one_that_its_upstream_lost_is_reset(self) -> None:
+        network = Network()
+        holder = opened(network)
+        network.upstreams[holder].flows.clear()
+        network.call(caller_packet(FLOW, length=20, acknowledged=502))
+        assert len(network.resets) == 1
+
+
+class TestNewFlows:
+    """Where a new flow is opened."""
+
+    def test_one_upstream_is_asked(self) -> None:
+        network = Network()
+        network.call(opening(FLOW))
+        assert len(network.reached(FLOW)) == 1
+
+    def test_copies_go_where_the_first_went(self) -> None:
+        network = Network()
+        for _ in range(3):
+            network.call(opening(FLOW))
+        assert len(network.reached(FLOW)) == 1
+
+    def test_another_one_if_an_agent_is_silent(self) -> None:
+        network = Network()
+        silent = network.entries[0].host
+        network.dark.add(silent)
+        for number in range(12):
+            network.call(opening(flow_key(number)))
+        network.pass_time(0.1)
+        network.pass_time(0.1)
+        for number in range(12):
+            assert network.holder(flow_key(number)) != silent
+
+    def test_another_one_if_an_upstream_returns_it(self) -> None:
+        network = Network()
+        for full in network.entries[:2]:
+            network.upstreams[full.host].accepts = False
+        for number in range(6):
+            network.call(opening(flow_key(number)))
+            assert network.holder(flow_key(number)) == network.entries[2].host
+
+    def test_none_that_leaves_even_if_the_entry_does_not_know(self) -> None:
+        network = Network()
+        leaving = replace(network.entries[0], leaving=True)
+        behind = network.contexts.pop(ENTRY)
+        network.publish(upstream_record(0, leaving))
+        network.contexts[ENTRY] = behind
+        for number in range(8):
+            network.call(opening(flow_key(number)))
+        assert not network.upstreams[leaving.host].received
+
+    def test_none_in_a_data_centre_taken_out(self) -> None:
+        network = Network(upstream(1), upstream(2, data_centre='south'))
+        network.publish(Record('out/north', 0, TakenOut('north')))
+        for number in range(4):
+            network.call(opening(flow_key(number)))
+            assert network.holder(flow_key(number)) == '10.0.0.2'
+
+    def test_none_of_another_service_at_a_reused_address(self) -> None:
+        network = Network(upstream(1), upstream(2))
+        reused = upstream(1, service='layout')
+        network.upstreams.pop(reused.host)
+        network.start_agent(reused)
+        for number in range(6):
+            network.call(opening(flow_key(number)))
+        assert not network.upstreams[reused.host].received
+
+    def test_it_waits_for_room_and_is_refused_in_time(self) -> None:
+        network = Network(upstream(1))
+        network.publish(upstream_record(0, upstream(1, leaving=True)))
+        network.call(opening(FLOW))
+        assert not network.resets
+        network.publish(upstream_record(0, upstream(1)))
+        network.pass_time(0.02)
+        assert network.holder(FLOW) == '10.0.0.1'
+        late = flow_key(1)
+        network.publish(upstream_record(0, upstream(1, leaving=True)))
+        network.call(opening(late))
+        network.pass_time(0.5)
+        assert not network.resets
+        network.pass_time(0.2)
+        assert [packet.flow for packet in network.resets] == [late]
+
+
+class TestBacklog:
+    """No upstream gets more than a short queue."""
+
+    @pytest.mark.parametrize('flows', [10, 100])
+    def test_a_rush_is_held_back(self, flows: int) -> None:
+        network = Network()
+        for number in range(flows):
+            network.call(opening(flow_key(number)))
+        taken = [len(one.flows) for one in network.upstreams.values()]
+        assert max(taken) <= 8
+        assert sum(taken) == min(flows, 24)
+        assert not network.resets
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_state.py
@@ -0,0 +1,91 @@
+"""Tests of the process's view and its settings while it runs."""
+
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from ragwortpost._errors import RagwortpostError
+from ragwortpost.datapath.process import NodeSettings
+from ragwortpost.datapath.process._reload import Reloader
+from ragwortpost.datapath.process.tests.network import (
+    Network,
+    settings_of,
+)
+from ragwortpost.datapath.version import Record
+from ragwortpost.datapath.version.tests.documents import (
+    upstream,
+    upstream_record,
+)
+
+
+class TestLapse:
+    """Entries that vanish from the store without notice."""
+
+    def test_one_that_lapsed_counts_for_a_while(self) -> None:
+        network = Network(upstream(1))
+        state = network.contexts['10.0.1.1'].state
+        network.publish(Record('upstream/i-1', 0, None))
+        state.expire()
+        assert state.fleet.upstreams['desk']
+        network.clock.time += 3
+        state.expire()
+        assert not state.fleet.upstreams
+
+    def test_one_that_left_is_gone_at_once(self) -> None:
+        network = Network(upstream(1))
+        state = network.contexts['10.0.1.1'].state
+        network.publish(upstream_record(0, upstream(1, leaving=True)))
+        network.publish(Record('upstream/i-1', 0, None))
+        assert not state.fleet.upstreams
+
+    def test_one_that_comes_back_stays(self) -> None:
+        network = Network(upstream(1))
+        state = network.contexts['10.0.1.1'].state
+        network.publish(Record('upstream/i-1', 0, None))
+        network.publish(upstream_record(0, upstream(1)))
+        network.clock.time += 9
+        state.expire()
+        assert state.fleet.upstreams['desk']
+
+
+class TestWarmUp:
+    """How long an upstream stays cold."""
+
+    def test_it_counts_down(self) -> None:
+        network = Network(upstream(1, warm_up_left=2.0))
+        state = network.contexts['10.0.1.1'].state
+        network.clock.time += 1.5
+        assert state.warm_up_left(upstream(1)) == 0.5
+        network.clock.time += 1
+        assert state.warm_up_left(upstream(1)) == 0
+
+
+class FakeSource:
+    """Settings that tests change."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings: Result[NodeSettings, RagwortpostError] = Ok(settings)
+
+    def stamp(self) -> float:
+        return 1
+
+    def load(self) -> Result[NodeSettings, RagwortpostError]:
+        return self.settings
+
+
+class TestReload:
+    """Settings that change while the process runs."""
+
+    def test_new_seeds_are_used(self) -> None:
+        context = Network().contexts['10.0.1.1']
+        changed = replace(context.settings, seeds=('10.0.1.7',))
+        Reloader(context, FakeSource(changed)).reload()
+        assert '10.0.1.7' in context.directory.entries(0)
+
+    def test_unusable_settings_change_nothing(self) -> None:
+        context = Network().contexts['10.0.1.1']
+        source = FakeSource(settings_of('10.0.1.1', None))
+        reloader = Reloader(context, source)
+        source.settings = Err(RagwortpostError('broken'))
+        reloader.reload()
+        assert context.directory.entries(0) == ()
--- /dev/null
+++ b/src/ragwortpost/datapath/version/tests/test_fleet.py
@@ -0,0 +1,61 @@
+"""Tests of the fleet that a view describes."""
+
+from dataclasses import replace
+
+from ragwortpost.datapath.connection.tests.packets import flow_key
+from ragwortpost.datapath.version import (
+    EMPTY_FLEET,
+    Fleet,
+    Record,
+    ServiceShare,
+    TakenOut,
+    arrange,
+)
+from ragwortpost.datapath.version.tests.documents import (
+    CONFIGURATION,
+    ROUTE,
+    configuration_record,
+    upstream,
+    upstream_record,
+)
+
+
+def fleet_of(*records: Record) -> Fleet:
+    return arrange(records, EMPTY_FLEET)
+
+
+class TestRoutes:
+    """Which service a new flow goes to."""
+
+    def test_by_the_address_that_callers_send_to(self) -> None:
+        fleet = fleet_of(configuration_record(1))
+        assert fleet.service_of(flow_key(port=443)) == 'desk'
+        assert fleet.service_of(flow_key(port=444)) is None
+
+    def test_shares_get_their_part_and_copies_the_same_service(self) -> None:
+        shares = (ServiceShare('desk', 90), ServiceShare('layout', 10))
+        route = replace(ROUTE, shares=shares)
+        split = replace(CONFIGURATION, routes=(route,))
+        fleet = fleet_of(configuration_record(1, split))
+        chosen = [fleet.service_of(flow_key(one)) for one in range(2000)]
+        again = [fleet.service_of(flow_key(one)) for one in range(2000)]
+        assert chosen == again
+        assert 140 < chosen.count('layout') < 260
+
+
+class TestUpstreams:
+    """Which upstreams take new flows."""
+
+    def test_the_last_one_started_holds_its_address(self) -> None:
+        old = upstream(1, host='10.0.0.9', service='layout')
+        new = upstream(2, host='10.0.0.9', born=2000)
+        fleet = fleet_of(upstream_record(2, new), upstream_record(1, old))
+        assert fleet.by_host['10.0.0.9'].service == 'desk'
+        assert 'layout' not in fleet.upstreams
+
+    def test_leaving_ones_and_those_taken_out_take_none(self) -> None:
+        out = Record('out/south', 3, TakenOut('south'))
+        fleet = fleet_of(out)
+        assert fleet.takes_new(upstream(1))
+        assert not fleet.takes_new(upstream(1, leaving=True))
+        assert not fleet.takes_new(upstream(1, data_centre='south'))
--- /dev/null
+++ b/src/ragwortpost/datapath/version/tests/test_view.py
@@ -0,0 +1,122 @@
+"""Tests of the view and of the messages that carry its changes."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from ragwortpost.datapath.version import (
+    Changes,
+    Record,
+    TakenOut,
+    View,
+    decode_changes,
+    encode_changes,
+)
+from ragwortpost.datapath.version.tests.documents import (
+    configuration_record,
+    upstream,
+    upstream_record,
+)
+
+OUT = Record('out/north', 5, TakenOut('north'))
+
+
+def state_of(view: View) -> dict[str, int]:
+    return {
+        record.subject: record.revision
+        for record in view.records
+        if record.document is not None
+    }
+
+
+class TestMerge:
+    """A view only goes forward."""
+
+    def test_an_older_record_changes_nothing(self) -> None:
+        view = View()
+        view.merge(Changes(0, 9, (upstream_record(9, upstream(1)),)))
+        older = upstream_record(4, upstream(1, leaving=True))
+        assert view.merge(Changes(0, 4, (older,))) == ()
+        assert view.revision == 9
+        kept = view.get('upstream/i-1')
+        assert kept is not None
+        assert kept.revision == 9
+
+    def test_changes_with_a_gap_before_them_are_refused(self) -> None:
+        view = View()
+        view.merge(Changes(0, 5, (OUT,)))
+        assert view.merge(Changes(7, 8, ())) is None
+        assert view.revision == 5
+
+    def test_a_complete_state_deletes_what_it_does_not_name(self) -> None:
+        view = View()
+        view.merge(Changes(0, 5, (OUT, upstream_record(3, upstream(1)))))
+        view.merge(Changes(0, 8, (upstream_record(7, upstream(2)),)))
+        assert state_of(view) == {'upstream/i-2': 7}
+
+    def test_a_complete_older_state_deletes_nothing_newer(self) -> None:
+        view = View()
+        view.merge(Changes(0, 9, (upstream_record(9, upstream(1)),)))
+        view.merge(Changes(0, 5, (OUT,)))
+        assert state_of(view)['upstream/i-1'] == 9
+
+    def test_one_that_is_behind_hears_of_deletions(self) -> None:
+        ahead, behind = View(), View()
+        for view in (ahead, behind):
+            view.merge(Changes(0, 5, (OUT,)))
+        ahead.merge(Changes(5, 6, (Record('out/north', 6, None),)))
+        behind.merge(ahead.since(5))
+        assert state_of(behind) == {}
+        assert behind.revision == 6
+
+    def test_one_far_behind_gets_the_whole_state(self) -> None:
+        ahead = View()
+        ahead.merge(Changes(0, 5, (OUT,)))
+        assert ahead.since(3).complete
+
+    @given(st.permutations(range(1, 8)))
+    def test_any_order_of_states_ends_in_the_same_view(
+        self,
+        order: list[int],
+    ) -> None:
+        newest = View()
+        states = {}
+        for revision in range(1, 8):
+            entry = upstream(revision % 3, slots=revision)
+            record = upstream_record(revision, entry)
+            newest.merge(Changes(revision - 1, revision, (record,)))
+            states[revision] = newest.since(0)
+        view = View()
+        reached = 0
+        for revision in order:
+            view.merge(states[revision])
+            assert view.revision >= reached
+            reached = view.revision
+        assert state_of(view) == state_of(newest)
+
+
+class TestEncoding:
+    """What peers send each other."""
+
+    def test_changes_survive_the_way(self) -> None:
+        changes = Changes(
+            2,
+            9,
+            (
+                configuration_record(3),
+                upstream_record(8, upstream(1)),
+                OUT,
+                Record('upstream/i-7', 9, None),
+            ),
+        )
+        assert decode_changes(encode_changes(changes)) == Ok(changes)
+
+    @given(st.binary(max_size=200))
+    def test_unreadable_bytes_are_an_error(self, message: bytes) -> None:
+        assert isinstance(decode_changes(message), Err)
+
+    @pytest.mark.parametrize('cut', [1, 5, 20])
+    def test_a_message_cut_short_is_an_error(self, cut: int) -> None:
+        message = encode_changes(Changes(0, 5, (OUT,)))
+        assert isinstance(decode_changes(message[:-cut]), Err)
--- a/src/ragwortpost/platform/__init__.py
+++ b/src/ragwortpost/platform/__init__.py
@@ -5,6 +5,7 @@
 from ragwortpost.platform._settings import (
     SETTINGS_VARIABLE,
     NodeSettingsError,
+    SettingsFile,
     parse_settings,
 )
 from ragwortpost.platform._store import PlatformStore
@@ -14,6 +15,7 @@
     'NodeSettingsError',
     'PlatformPacketFormat',
     'PlatformStore',
+    'SettingsFile',
     'parse_settings',
     'serve_readiness',
 ]
--- a/src/ragwortpost/platform/_settings.py
+++ b/src/ragwortpost/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -33,6 +34,25 @@
         return f'settings of the platform: {self.cause}'
 
 
+class SettingsFile:
+    """The settings file on this VM."""
+
+    def __init__(self, path: Path) -> None:
+        """Read from ``path``."""
+        self._path = path
+
+    def stamp(self) -> float:
+        """Return the time of the file's last change."""
+        return self._path.stat().st_mtime
+
+    def load(self) -> Result[NodeSettings, NodeSettingsError]:
+        """Return the settings as they are now."""
+        try:
+            return parse_settings(self._path.read_bytes())
+        except OSError as error:
+            return Err(NodeSettingsError(str(error)))
+
+
 def parse_settings(text: bytes) -> Result[NodeSettings, NodeSettingsError]:
     """Return the process's settings."""
     try:
