--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= cedarline
 SEED ?= 1
+PLATFORM ?=
 FILE ?= tests/scenarios/flows.feature
 
 .PHONY: setup run test lint scenario bench measures capacity pages binary proto clean
@@ -15,7 +16,11 @@
 	touch $@
 
 run: setup
+ifeq ($(PLATFORM),fleet)
+	$(BIN)/python -m standin.fleet.demo
+else
 	$(BIN)/python -m standin.demo --deployment $(DEPLOYMENT) --seed $(SEED)
+endif
 
 test: setup
 	$(BIN)/python -m pytest
--- a/src/ragwortpost/datapath/process/_log_output.py
+++ b/src/ragwortpost/datapath/process/_log_output.py
@@ -58,7 +58,7 @@
         events[DROPPED] += 1
 
     writer = logging.StreamHandler(output)
-    writer.setFormatter(JsonFormatter(exclude_fields=['message']))
+    writer.setFormatter(JsonFormatter(['event']))
     listener = QueueListener(lines, writer)
     logger = logging.getLogger(LOGGER_NAME)
     handler = _BoundedHandler(lines, count_dropped)  # noqa: WPS110
--- /dev/null
+++ b/standin/fleet/callers.py
@@ -0,0 +1,248 @@
+"""Callers: they open flows, ask, and check whole answers to own requests."""
+
+import asyncio
+import json
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+from contextlib import ExitStack, suppress
+from dataclasses import dataclass, field
+
+from standin.fleet.stream import (
+    ACK,
+    RST,
+    SYN,
+    Segment,
+    Stream,
+    decode,
+)
+
+SYN_PAUSES = (0.2, 0.4, 0.8)
+DEADLINE_SECONDS = 3.0
+TICK_SECONDS = 0.05
+
+
+@dataclass
+class Tally:
+    """What callers saw."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    # Seconds from a request to its answer.
+    latencies: list[float] = field(default_factory=list)
+    # Requests that may run once at most.
+    unsafe: set[str] = field(default_factory=set)
+    # Requests whose answer arrived whole.
+    served: set[str] = field(default_factory=set)
+    # Moments of resets and deadlines, with what happened.
+    failures: list[tuple[float, str]] = field(default_factory=list)
+
+
+class FlowFailed(Exception):
+    """A flow ended before its answer came."""
+
+
+class CallerHost:
+    """One address of callers, with one socket for all their flows."""
+
+    def __init__(self, host: str, port: int, route: Callable[..., str]) -> None:
+        self.address = (host, port)
+        self.route = route
+        self.flows: dict[int, 'CallerFlow'] = {}
+        self.random = random.Random(host)
+        self.next_port = 10000
+        self.unsealed = 0
+        self.socket: socket.socket | None = None
+
+    def open(self, stack: ExitStack) -> None:
+        """Receive packets until ``stack`` closes."""
+        loop = asyncio.get_running_loop()
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind(self.address)
+        self.socket = opened
+        loop.add_reader(opened, self.read)
+        stack.callback(opened.close)
+        stack.callback(loop.remove_reader, opened)
+
+    def read(self) -> None:
+        """Hand one packet to its flow."""
+        assert self.socket is not None
+        segment = decode(self.socket.recv(2000))
+        if not segment.sealed and not segment.flags & RST:
+            self.unsealed += 1
+            return
+        flow = self.flows.get(segment.destination[1])
+        if flow is not None:
+            flow.take(segment)
+
+    def new_flow(self, service: tuple[str, int]) -> 'CallerFlow':
+        """Return a flow from a new port."""
+        self.next_port += 1
+        flow = CallerFlow(self, self.next_port, service)
+        self.flows[self.next_port] = flow
+        return flow
+
+    def send(self, raw: bytes, local: int, service: tuple[str, int]) -> None:
+        """Send a packet to the entry that the routers choose."""
+        entry = self.route((self.address[0], local, *service))
+        if entry and self.socket is not None:
+            self.socket.sendto(raw, (entry, self.address[1]))
+
+
+class CallerFlow:
+    """One flow of a caller."""
+
+    def __init__(
+        self,
+        host: CallerHost,
+        port: int,
+        service: tuple[str, int],
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.service = service
+        self.first = host.random.randrange(1 << 32)
+        self.is_open = False
+        self.is_reset = False
+        self.changed = asyncio.Event()
+        self.text = bytearray()
+        self.stream = Stream(
+            (host.address[0], port),
+            service,
+            self.first + 1,
+            lambda raw: host.send(raw, port, service),
+            self.text.extend,
+        )
+
+    def take(self, segment: Segment) -> None:
+        """Handle a packet of the upstream, or a reset."""
+        now = asyncio.get_running_loop().time()
+        if segment.flags & RST:
+            self.is_reset = True
+        elif segment.flags & (SYN | ACK) == SYN | ACK:
+            if not self.is_open:
+                self.stream.open(segment.sequence + 1)
+                self.is_open = True
+        elif self.is_open:
+            self.stream.take(segment, now)
+        self.changed.set()
+
+    async def open(self) -> None:
+        """Open the flow; raises :class:`FlowFailed`."""
+        for copy, pause in enumerate(SYN_PAUSES):
+            self.stream.expected = copy
+            raw = self.stream.packet(SYN, self.first, b'')
+            self.host.send(raw, self.port, self.service)
+            try:
+                async with asyncio.timeout(pause):
+                    while not self.is_open and not self.is_reset:
+                        await self._wait()
+            except TimeoutError:
+                continue
+            if self.is_open:
+                return
+            raise FlowFailed('refused')
+        raise FlowFailed('no upstream accepted it')
+
+    async def ask(self, request: dict[str, object]) -> dict[str, object]:
+        """Return the answer; raises :class:`FlowFailed`."""
+        loop = asyncio.get_running_loop()
+        self.stream.write(json.dumps(request).encode() + b'\n', loop.time())
+        end = loop.time() + DEADLINE_SECONDS
+        while b'\n' not in self.text:
+            if self.is_reset:
+                raise FlowFailed('reset')
+            if loop.time() > end:
+                raise FlowFailed('deadline')
+            self.stream.tick(loop.time())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self._wait()
+        line, _, rest = bytes(self.text).partition(b'\n')
+        self.text[:] = rest
+        answer: dict[str, object] = json.loads(line)
+        return answer
+
+    def close(self) -> None:
+        """Forget the flow."""
+        self.host.flows.pop(self.port, None)
+
+    async def _wait(self) -> None:
+        self.changed.clear()
+        await self.changed.wait()
+
+
+class Caller:
+    """One user: sends requests over long flows or over one flow each."""
+
+    def __init__(
+        self,
+        name: str,
+        host: CallerHost,
+        service: tuple[str, int, str],
+        tally: Tally,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.address = service[:2]
+        self.service = service[2]
+        self.tally = tally
+        self.number = 0
+
+    async def run(self, *, long: bool) -> None:
+        """Send requests until cancelled."""
+        flow: CallerFlow | None = None
+        while True:
+            self.number += 1
+            request = f'{self.name}-{self.number}'
+            if not long:
+                self.tally.unsafe.add(request)
+            flow = await self.attempt(request, flow)
+            if flow is not None and not long:
+                flow.close()
+                flow = None
+            await asyncio.sleep(self.host.random.uniform(0.05, 0.15))
+
+    async def attempt(
+        self,
+        request: str,
+        flow: CallerFlow | None,
+    ) -> CallerFlow | None:
+        """Send a request; return the flow if it is still of use."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.tally.counts['asked'] += 1
+        established = flow is not None
+        try:
+            if flow is None:
+                flow = self.host.new_flow(self.address)
+                await flow.open()
+            size = self.host.random.choice((10, 2000, 9000))
+            answer = await flow.ask({'id': request, 'size': size})
+        except FlowFailed as failure:
+            cause = f'{"long " if established else ""}{failure}'
+            self.tally.counts[f'failed: {cause}'] += 1
+            self.tally.failures.append((loop.time(), cause))
+            if flow is not None:
+                flow.close()
+            return None
+        self.tally.latencies.append(loop.time() - began)
+        self.check(request, size, answer)
+        return flow
+
+    def check(
+        self,
+        request: str,
+        size: int,
+        answer: dict[str, object],
+    ) -> None:
+        """Note what is wrong with an answer."""
+        self.tally.counts['answered'] += 1
+        self.tally.served.add(request)
+        if answer['id'] != request:
+            self.tally.counts['mixed answers'] += 1
+        if answer['service'] != self.service:
+            self.tally.counts['wrong service'] += 1
+        if len(str(answer['body'])) != size:
+            self.tally.counts['cut short'] += 1
--- /dev/null
+++ b/standin/fleet/upstreams.py
@@ -0,0 +1,177 @@
+"""Upstreams: they accept flows, run requests and return strange packets."""
+
+import asyncio
+import json
+import random
+import socket
+from collections import Counter
+from contextlib import ExitStack
+
+from standin.fleet.stream import (
+    ACK,
+    BOUNCED,
+    RST,
+    SYN,
+    Segment,
+    Stream,
+    bounce,
+    decode,
+)
+
+HEARTBEAT_SECONDS = 0.4
+WORK_SECONDS = 0.02
+SLOTS = 3
+
+
+class Upstream:
+    """One incarnation of one upstream."""
+
+    def __init__(self, ident: str, service: str, host: str, zone: str) -> None:
+        self.ident = ident
+        self.service = service
+        self.host = host
+        self.zone = zone
+        self.state = 'ready'
+        self.streams: dict[tuple[str, int], Stream] = {}
+        self.half_open: dict[tuple[str, int], int] = {}
+        self.texts: dict[tuple[str, int], bytearray] = {}
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.runs: Counter[str] = Counter()
+        self.opened: list[float] = []
+        self.unsealed = 0
+        self.random = random.Random(ident)
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.outbound = (host, 0)
+        self.socket: socket.socket | None = None
+
+    @property
+    def entry(self) -> dict[str, object]:
+        """What the upstream says of itself in the store."""
+        return {
+            'service': self.service,
+            'address': f'{self.host}:{self.outbound[1]}',
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': SLOTS,
+            'state': self.state,
+            'warmupLeftMs': 0,
+            'sequence': 1,
+            'born': 1,
+        }
+
+    def open(self, stack: ExitStack, port: int, outbound: int) -> None:
+        """Receive packets until ``stack`` closes."""
+        loop = asyncio.get_running_loop()
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind((self.host, port))
+        self.socket = opened
+        self.outbound = (self.host, outbound)
+        loop.add_reader(opened, self.read)
+        timer = loop.create_task(self.run_timers())
+        self.tasks.add(timer)
+        stack.callback(timer.cancel)
+        stack.callback(opened.close)
+        stack.callback(loop.remove_reader, opened)
+
+    def read(self) -> None:
+        """Handle one packet."""
+        assert self.socket is not None
+        raw = self.socket.recv(2000)
+        segment = decode(raw)
+        if not segment.sealed or segment.flags & BOUNCED:
+            self.unsealed += 1
+            return
+        caller = segment.source
+        now = asyncio.get_running_loop().time()
+        if segment.is_opening:
+            self.accept(segment)
+        elif caller in self.half_open and self.finish(segment, now):
+            self.streams[caller].take(segment, now)
+        elif caller in self.streams:
+            self.streams[caller].take(segment, now)
+        else:
+            self.send(bounce(raw))
+
+    def accept(self, segment: Segment) -> None:
+        """Answer the packet that asks to open a flow."""
+        caller = segment.source
+        first = self.half_open.setdefault(
+            caller,
+            self.random.randrange(1 << 32),
+        )
+        stream = Stream(
+            segment.destination,
+            caller,
+            first + 1,
+            self.send,
+            lambda data: self.take_data(caller, data),
+        )
+        stream.open(segment.sequence + 1)
+        self.send(stream.packet(SYN | ACK, first, b''))
+        self.texts.setdefault(caller, bytearray())
+        if caller not in self.streams:
+            self.streams[caller] = stream
+
+    def finish(self, segment: Segment, now: float) -> bool:
+        """Return whether a packet ends a flow's handshake."""
+        first = self.half_open[segment.source]
+        if segment.acknowledged != (first + 1) % (1 << 32):
+            return False
+        self.half_open.pop(segment.source)
+        self.opened.append(now)
+        return True
+
+    def take_data(self, caller: tuple[str, int], data: bytes) -> None:
+        """Start a request for each line received."""
+        text = self.texts[caller]
+        text += data
+        while b'\n' in text:
+            line, _, rest = bytes(text).partition(b'\n')
+            text[:] = rest
+            task = asyncio.get_running_loop().create_task(
+                self.run_request(caller, json.loads(line)),
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def run_request(
+        self,
+        caller: tuple[str, int],
+        request: dict[str, object],
+    ) -> None:
+        """Run a request and write its response."""
+        async with self.slots:
+            self.runs[str(request['id'])] += 1
+            await asyncio.sleep(WORK_SECONDS)
+        response = {
+            'id': request['id'],
+            'service': self.service,
+            'body': 'x' * int(str(request['size'])),
+        }
+        now = asyncio.get_running_loop().time()
+        self.streams[caller].write(json.dumps(response).encode() + b'\n', now)
+
+    async def run_timers(self) -> None:
+        """Send again what was not acknowledged."""
+        while True:
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            for stream in list(self.streams.values()):
+                if not stream.dead:
+                    stream.tick(now)
+
+    def reset_all(self) -> None:
+        """Forget all flows, as a crash does."""
+        self.streams.clear()
+        self.half_open.clear()
+
+    def send(self, raw: bytes) -> None:
+        """Send a packet to the agent."""
+        if self.socket is not None:
+            self.socket.sendto(raw, self.outbound)
+
+
+def is_reset(segment: Segment) -> bool:
+    """Return whether a packet breaks its flow off."""
+    return bool(segment.flags & RST)
