--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -30,7 +30,15 @@
     choose,
     expected_wait,
 )
-from ragwortpost.datapath.connection._searches import Search, Searches
+from ragwortpost.datapath.connection._registry import (
+    Unregistered,
+    registrars_of,
+)
+from ragwortpost.datapath.connection._searches import (
+    Search,
+    Searches,
+    whom_to_ask,
+)
 
 __all__ = [
     'FLOW_KEY_BYTES',
@@ -51,11 +59,14 @@
     'Search',
     'Searches',
     'Standing',
+    'Unregistered',
     'backlog_limit',
     'caller_of',
     'choose',
     'describe_flow',
     'expected_wait',
     'parse_flow',
+    'registrars_of',
     'route_of',
+    'whom_to_ask',
 ]
--- a/src/ragwortpost/datapath/connection/_flow_cache.py
+++ b/src/ragwortpost/datapath/connection/_flow_cache.py
@@ -16,8 +16,13 @@
 class FlowCache:
     """The address of the agent that holds a flow."""
 
-    def __init__(self, now: float) -> None:
-        """Start empty."""
+    def __init__(
+        self,
+        now: float,
+        generation: float = GENERATION_SECONDS,
+    ) -> None:
+        """Start empty, with generations of so many seconds."""
+        self._generation = generation
         self._young: dict[FlowKey, str] = {}
         self._old: dict[FlowKey, str] = {}
         self._turned = now
@@ -46,7 +51,7 @@
 
     def expire(self, now: float) -> None:
         """Begin another generation when it is time."""
-        if now - self._turned >= GENERATION_SECONDS:
+        if now - self._turned >= self._generation:
             self._old = self._young
             self._young = {}
             self._turned = now
--- a/src/ragwortpost/datapath/connection/_searches.py
+++ b/src/ragwortpost/datapath/connection/_searches.py
@@ -1,12 +1,13 @@
 """An entry's searches for the agent that holds a flow.
 
 After the routers spread flows anew, an entry gets packets of flows that it
-never saw. It sends such a packet to every agent that could hold the flow; only
-the holder delivers it. The flow is reset when all of them have said that they
-don't hold it, and never because some were silent.
+never saw. It first asks the few agents where the flow's holder registers it,
+then all agents that could hold it; only the holder delivers the packet. The
+flow is reset when all of them have denied it, and never because some were
+silent.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 from typing import Final
 
@@ -15,20 +16,23 @@
 # Seconds after which a search begins again; a caller sends a lost packet
 # again several times within it.
 SEARCH_SECONDS: Final = 3.0
+# Agents of a service up to which all are asked at once: asking the registrars
+# first would save little.
+FEW_AGENTS: Final = 8
 
 
 @dataclass(slots=True)
 class Search:
     """One flow whose holder is asked for."""
 
-    # Agents that have not denied the flow.
-    open: set[str]
+    # The caller's last packet.
+    packet: Packet
     # Agents that don't hold the flow.
     denied: set[str]
-    # Sequence number that the caller expects next.
-    expected: int
     # Monotonic seconds of the first question.
     began: float
+    # Whether all agents are asked, not only the registrars.
+    wide: bool = False
 
 
 class Searches:
@@ -42,43 +46,53 @@
         """Return the number of searches."""
         return len(self._searches)
 
-    def ask(
-        self,
-        packet: Packet,
-        agents: Iterable[str],
-        now: float,
-    ) -> Collection[str]:
-        """Return the agents that a packet of an unknown flow goes to.
+    def get(self, flow: FlowKey) -> Search | None:
+        """Return the search for a flow, if there is one."""
+        return self._searches.get(flow)
 
-        Returns none if all of ``agents`` have denied the flow.
-        """
+    def begin(self, packet: Packet, now: float) -> Search:
+        """Return the search for a packet's flow, with the packet noted."""
         search = self._searches.get(packet.flow)
         if search is None:
-            search = Search(set(), set(), packet.acknowledged, now)
+            search = Search(packet, set(), now)
             self._searches[packet.flow] = search
-        search.expected = packet.acknowledged
-        search.open = set(agents) - search.denied
-        return tuple(search.open)
-
-    def deny(self, flow: FlowKey, agent: str) -> Search | None:
-        """Note that an agent doesn't hold a flow.
-
-        Returns the search if nobody is left who could hold it.
-        """
-        search = self._searches.get(flow)
-        if search is None:
-            return None
-        search.open.discard(agent)
-        search.denied.add(agent)
-        return None if search.open else search
+        search.packet = packet
+        return search
 
     def end(self, flow: FlowKey) -> Search | None:
         """Forget a search."""
         return self._searches.pop(flow, None)
 
+    def overdue(self, before: float) -> Iterator[Search]:
+        """Yield the searches at the registrars that began before a moment."""
+        for search in list(self._searches.values()):
+            if search.began >= before:
+                return
+            if not search.wide:
+                yield search
+
     def expire(self, now: float) -> None:
         """Forget searches that began too long ago."""
         for flow, search in list(self._searches.items()):
             if now - search.began < SEARCH_SECONDS:
                 return
             self._searches.pop(flow)
+
+
+def whom_to_ask(
+    search: Search,
+    registrars: Collection[str],
+    holders: Collection[str],
+) -> Collection[str]:
+    """Return the agents that may still know where a flow is.
+
+    Makes the search wide when there are few agents, or when every registrar
+    has denied the flow. Returns none if all holders have.
+    """
+    if not search.wide:
+        left = [one for one in registrars if one not in search.denied]
+        if left and len(holders) > FEW_AGENTS:
+            # One at a time: each of them would pass the packet on.
+            return left[:1]
+        search.wide = True
+    return [one for one in holders if one not in search.denied]
--- a/src/ragwortpost/datapath/connection/tests/test_openings_and_searches.py
+++ b/src/ragwortpost/datapath/connection/tests/test_openings_and_searches.py
@@ -1,6 +1,16 @@
 """Tests of an entry's new flows and of its searches."""
 
-from ragwortpost.datapath.connection import FlowCache, Openings, Searches
+from collections import Counter
+
+from ragwortpost.datapath.connection import (
+    FlowCache,
+    Openings,
+    Search,
+    Searches,
+    Unregistered,
+    registrars_of,
+    whom_to_ask,
+)
 from ragwortpost.datapath.connection.tests.packets import (
     caller_packet,
     flow_key,
@@ -40,35 +50,84 @@
         assert openings.get(FLOW) is None
 
 
+MANY = [f'10.0.0.{number}' for number in range(1, 13)]
+REGISTRARS = MANY[:2]
+
+
+def search_of() -> Search:
+    return Searches().begin(caller_packet(FLOW), 0)
+
+
 class TestSearches:
     """Who may still hold a flow."""
 
+    def test_few_agents_are_all_asked_at_once(self) -> None:
+        search = search_of()
+        assert set(whom_to_ask(search, ['a'], ['a', 'b'])) == {'a', 'b'}
+        assert search.wide
+
     def test_silence_never_ends_a_search(self) -> None:
-        searches = Searches()
-        assert set(searches.ask(caller_packet(FLOW), 'ab', 0)) == {'a', 'b'}
-        assert searches.deny(FLOW, 'a') is None
-        assert set(searches.ask(caller_packet(FLOW), 'ab', 1)) == {'b'}
+        search = search_of()
+        search.denied.add('a')
+        for _ in range(10):
+            assert whom_to_ask(search, ['a'], ['a', 'b']) == ['b']
 
     def test_it_ends_when_all_have_denied(self) -> None:
-        searches = Searches()
-        searches.ask(caller_packet(FLOW, acknowledged=9), 'ab', 0)
-        searches.deny(FLOW, 'a')
-        unheld = searches.deny(FLOW, 'b')
-        assert unheld is not None
-        assert unheld.expected == 9
+        search = search_of()
+        search.denied.update('ab')
+        assert not whom_to_ask(search, ['a'], ['a', 'b'])
 
     def test_an_agent_that_left_is_not_waited_for(self) -> None:
-        searches = Searches()
-        searches.ask(caller_packet(FLOW), 'ab', 0)
-        searches.deny(FLOW, 'a')
-        assert not searches.ask(caller_packet(FLOW), 'a', 1)
+        search = search_of()
+        search.denied.add('a')
+        assert whom_to_ask(search, ['a'], ['a', 'b']) == ['b']
+        assert not whom_to_ask(search, ['a'], ['a'])
+
+    def test_of_many_agents_the_registrars_are_asked_first(self) -> None:
+        search = search_of()
+        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[:1]
+        search.denied.add(MANY[0])
+        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[1:2]
+        search.denied.add(MANY[1])
+        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[2:]
 
     def test_old_searches_begin_again(self) -> None:
         searches = Searches()
-        searches.ask(caller_packet(FLOW), 'ab', 0)
-        searches.deny(FLOW, 'a')
+        searches.begin(caller_packet(FLOW), 0).denied.add('a')
         searches.expire(4)
-        assert set(searches.ask(caller_packet(FLOW), 'ab', 4)) == {'a', 'b'}
+        assert not searches.begin(caller_packet(FLOW), 4).denied
+
+
+class TestRegistrars:
+    """Where flows are registered."""
+
+    def test_all_processes_name_the_same(self) -> None:
+        shuffled = list(reversed(MANY))
+        assert registrars_of(FLOW, MANY) == registrars_of(FLOW, shuffled)
+
+    def test_flows_are_spread_over_all_agents(self) -> None:
+        chosen = Counter(
+            host
+            for number in range(1200)
+            for host in registrars_of(flow_key(number), MANY)
+        )
+        assert set(chosen) == set(MANY)
+        assert max(chosen.values()) < 2 * min(chosen.values())
+
+    def test_one_agent_less_moves_only_its_flows(self) -> None:
+        for number in range(100):
+            flow = flow_key(number)
+            before = registrars_of(flow, MANY)
+            after = registrars_of(flow, MANY[1:])
+            kept = [one for one in before if one != MANY[0]]
+            assert after[: len(kept)] == kept
+
+    def test_a_flow_is_registered_once_it_has_lived_a_while(self) -> None:
+        flows = Unregistered()
+        flows.add(FLOW, 1.0)
+        assert not list(flows.due(1.2))
+        assert list(flows.due(1.4)) == [FLOW]
+        assert not list(flows.due(9.0))
 
 
 class TestFlowCache:
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -1,6 +1,7 @@
 """The agent: decides over the flows of the upstream beside it."""
 
-from collections.abc import Callable, Mapping
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -8,20 +9,24 @@
 from ragwortpost.datapath.connection import (
     Admission,
     Claim,
+    FlowCache,
     FlowKey,
     HeldFlows,
     Packet,
     PacketFormat,
     Refusal,
     Standing,
+    Unregistered,
     backlog_limit,
     caller_of,
+    registrars_of,
 )
 from ragwortpost.datapath.process._context import NodeContext
 from ragwortpost.datapath.process._messages import (
     Forward,
     Outcome,
     Purpose,
+    Registration,
     Verdict,
     encode,
     service_tag,
@@ -33,6 +38,11 @@
 IDLE_SECONDS: Final = 30.0
 # Flows that an upstream holds at most, until the configuration says so.
 DEFAULT_CONNECTIONS: Final = 2000
+# Seconds for which a registered flow is remembered at least: the age after
+# which a flow may be discarded.
+REGISTRATION_SECONDS: Final = 60.0
+# Flows registered in one datagram; with their head they fill most of one.
+REGISTRATION_FLOWS: Final = 100
 # Seconds for which an upstream's silence to an offered packet is waited for.
 OFFER_SECONDS: Final = 3.0
 
@@ -68,6 +78,9 @@
         self._flows = HeldFlows(context.settings.first_start, IDLE_SECONDS)
         self._admission = Admission()
         self._offers: dict[FlowKey, _Offer] = {}
+        self._unregistered = Unregistered()
+        now = context.clock.monotonic()
+        self._registered = FlowCache(now, REGISTRATION_SECONDS)
         self._outbound: Send | None = None
         self._to_peer: Send | None = None
         self._is_stopping: Callable[[], bool] = bool
@@ -108,6 +121,7 @@
         if packet is None:
             self._events['malformed'] += 1
             return
+        entry = forward.entry or entry
         now = self._clock.monotonic()
         if forward.purpose is Purpose.OPEN:
             self._open_flow(forward, packet, entry)
@@ -115,15 +129,24 @@
         match self._flows.claim(packet, now):
             case Claim.HELD:
                 self._deliver(packet)
-                if forward.purpose is Purpose.FIND:
+                if forward.purpose is not Purpose.CARRY:
                     self._tell(Outcome.HELD, packet, entry)
             case Claim.NOT_HELD:
-                self._deny(forward.purpose, packet, entry)
+                self._pass_or_deny(forward, packet, entry)
             case Claim.UNKNOWN if forward.service == self._tag:
                 self._offer(packet, entry)
             case Claim.UNKNOWN:
                 self._deny(forward.purpose, packet, entry)
 
+    def receive_registration(
+        self,
+        registration: Registration,
+        holder: str,
+    ) -> None:
+        """Remember the flows that another agent's upstream holds."""
+        for flow in registration.flows:
+            self._registered.put(flow, holder)
+
     def receive_outbound(self, raw: bytes, _: HostPort) -> None:
         """Handle a packet that the upstream sends or returns."""
         packet = self._packets.from_upstream(raw)
@@ -138,11 +161,46 @@
         """Forget what is too old."""
         now = self._clock.monotonic()
         self._flows.expire(now)
+        self._registered.expire(now)
+        self._register(now)
         for flow, offer in list(self._offers.items()):
             if now - offer.made < OFFER_SECONDS:
                 break
             self._offers.pop(flow)
 
+    def _pass_or_deny(
+        self,
+        forward: Forward,
+        packet: Packet,
+        entry: str,
+    ) -> None:
+        """Pass a packet to its flow's registered holder, or deny the flow."""
+        holder = None
+        if forward.purpose is Purpose.LOCATE:
+            holder = self._registered.get(packet.flow)
+        if holder is None or self._to_peer is None:
+            self._deny(forward.purpose, packet, entry)
+            return
+        self._events['passed_to_holder'] += 1
+        passed = Forward(Purpose.FIND, forward.service, packet.raw, entry)
+        self._to_peer(encode(passed), (holder, self._settings.peer_port))
+
+    def _register(self, now: float) -> None:
+        """Register the flows that have lived for a while."""
+        upstreams = self._state.fleet.upstreams.get(self._side.service, ())
+        hosts = [entry.host for entry in upstreams]
+        flows = defaultdict(list)
+        for flow in self._unregistered.due(now):
+            if self._flows.get(flow) is not None:
+                for host in registrars_of(flow, hosts):
+                    flows[host].append(flow)
+        flows.pop(self._settings.host, None)
+        for host, registered in flows.items():
+            for batch in _batches(registered, REGISTRATION_FLOWS):
+                if self._to_peer is not None:
+                    message = encode(Registration(batch))
+                    self._to_peer(message, (host, self._settings.peer_port))
+
     def _open_flow(
         self,
         forward: Forward,
@@ -201,7 +259,8 @@
 
     def _receive_answer(self, packet: Packet) -> None:
         now = self._clock.monotonic()
-        self._flows.note_upstream(packet, now)
+        if self._flows.note_upstream(packet, now):
+            self._unregistered.add(packet.flow, now)
         if self._outbound is not None:
             caller = (caller_of(packet.flow), self._settings.packet_port)
             self._outbound(packet.raw, caller)
@@ -265,3 +324,11 @@
             reset = self._packets.reset(packet.flow, packet.acknowledged)
             caller = (caller_of(packet.flow), self._settings.packet_port)
             self._outbound(reset, caller)
+
+
+def _batches(
+    flows: Sequence[FlowKey],
+    size: int,
+) -> Iterator[tuple[FlowKey, ...]]:
+    for start in range(0, len(flows), size):
+        yield tuple(flows[start : start + size])
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -11,10 +11,12 @@
     Openings,
     Packet,
     PacketFormat,
+    Search,
     Searches,
     caller_of,
     choose,
     route_of,
+    whom_to_ask,
 )
 from ragwortpost.datapath.process._context import NodeContext
 from ragwortpost.datapath.process._messages import (
@@ -30,6 +32,10 @@
 # Seconds for an agent to answer a new flow before another one is tried; far
 # above an answer's usual time and below a caller's own repeat.
 OPENING_SECONDS: Final = 0.08
+# Seconds for registrars to name a flow's holder before all agents are asked.
+REGISTRAR_SECONDS: Final = 0.04
+# Why a flow is reset that all agents have denied.
+UNHELD: Final = 'held by no upstream'
 # Part of a route's timeout for which a new flow may wait for an upstream; the
 # rest is for its request.
 WAIT_SHARE: Final = 0.6
@@ -101,9 +107,9 @@
         return self._clock.monotonic() - self._last_packet
 
     @property
-    def has_openings(self) -> bool:
-        """Whether new flows are under way, so that ticks matter."""
-        return len(self._openings) > 0
+    def is_waiting(self) -> bool:
+        """Whether flows wait for agents' answers, so that ticks matter."""
+        return len(self._openings) > 0 or len(self._searches) > 0
 
     def tick(self) -> None:
         """Try other agents for flows that were not answered in time."""
@@ -114,6 +120,8 @@
             self._place(opening)
         for waiting in self._openings.waiting():
             self._place(waiting)
+        for search in self._searches.overdue(now - REGISTRAR_SECONDS):
+            self._widen(search)
         self._searches.expire(now)
         self._cache.expire(now)
 
@@ -211,14 +219,29 @@
         service = self._state.fleet.service_of(packet.flow)
         if service is None:
             return
-        now = self._clock.monotonic()
-        holders = self._choice.holders(service)
-        asked = self._searches.ask(packet, holders, now)
+        search = self._searches.begin(packet, self._clock.monotonic())
         self._events['searched'] += 1
+        self._ask(search, service)
+
+    def _ask(self, search: Search, service: str) -> None:
+        """Send a search's packet to the agents that may hold its flow."""
+        packet = search.packet
+        registrars = self._choice.registrars(service, packet.flow)
+        holders = self._choice.holders(service)
+        asked = whom_to_ask(search, registrars, holders)
         if holders and not asked:
-            self._end_search(packet.flow, packet.acknowledged)
+            self._searches.end(packet.flow)
+            self._reset(packet.flow, packet.acknowledged, UNHELD)
+        purpose = Purpose.FIND if search.wide else Purpose.LOCATE
         for agent in asked:
-            self._forward(packet, agent, Purpose.FIND)
+            self._forward(packet, agent, purpose)
+
+    def _widen(self, search: Search) -> None:
+        """Ask all agents for a flow that no registrar could name."""
+        search.wide = True
+        service = self._state.fleet.service_of(search.packet.flow)
+        if service is not None:
+            self._ask(search, service)
 
     def _note_not_held(self, verdict: Verdict, agent: str) -> None:
         if verdict.raw:
@@ -227,13 +250,14 @@
             packet = self._packets.from_caller(verdict.raw)
             if packet is not None:
                 self._search(packet)
-        unheld = self._searches.deny(verdict.flow, agent)
-        if unheld is not None:
-            self._end_search(verdict.flow, unheld.expected)
-
-    def _end_search(self, flow: FlowKey, sequence: int) -> None:
-        self._searches.end(flow)
-        self._reset(flow, sequence, 'held by no upstream')
+        search = self._searches.get(verdict.flow)
+        service = self._state.fleet.service_of(verdict.flow)
+        if search is None or service is None or agent in search.denied:
+            return
+        search.denied.add(agent)
+        holders = self._choice.holders(service)
+        if not search.wide or search.denied.issuperset(holders):
+            self._ask(search, service)
 
     def _refuse_unrouted(self, packet: Packet) -> None:
         if self._state.age < TRUSTED_VIEW_SECONDS:
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -7,6 +7,7 @@
 import struct
 from dataclasses import astuple, dataclass
 from enum import IntEnum
+from socket import inet_aton, inet_ntoa
 from typing import Final, TypeAlias
 
 import msgpack
@@ -23,7 +24,9 @@
 _VERDICT: Final = 2
 _DIGEST: Final = 3
 _CHANGES: Final = 4
-_FORWARD_HEAD: Final = struct.Struct('!BBQ')
+_REGISTRATION: Final = 5
+_SENDER_ITSELF: Final = '0.0.0.0'  # noqa: S104
+_FORWARD_HEAD: Final = struct.Struct('!BBQ4s')
 _VERDICT_HEAD: Final = struct.Struct(f'!BBHQ{FLOW_KEY_BYTES}s')
 
 _UNREADABLE: Final = (ValueError, TypeError, IndexError, struct.error)
@@ -40,6 +43,8 @@
     CARRY = 2
     # It belongs to a flow that the entry looks for.
     FIND = 3
+    # The same; the agent passes it on if it knows who holds the flow.
+    LOCATE = 4
 
 
 class Outcome(IntEnum):
@@ -65,6 +70,16 @@
     service: ServiceTag
     # The packet as the caller sent it.
     raw: bytes
+    # The entry that waits for the answer; empty for the sender itself.
+    entry: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """Flows that the sender's upstream holds."""
+
+    # The flows.
+    flows: tuple[FlowKey, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +124,7 @@
     entries: tuple[str, ...]
 
 
-Message: TypeAlias = Forward | Verdict | Digest | Changes
+Message: TypeAlias = Forward | Verdict | Registration | Digest | Changes
 
 
 def service_tag(service: str) -> ServiceTag:
@@ -120,8 +135,12 @@
 def encode(message: Message) -> bytes:
     """Return a message as a datagram."""
     match message:
-        case Forward(purpose, service, raw):
-            return _FORWARD_HEAD.pack(_FORWARD, purpose, service) + raw
+        case Forward(purpose, service, raw, entry):
+            waiting = inet_aton(entry or _SENDER_ITSELF)
+            head = _FORWARD_HEAD.pack(_FORWARD, purpose, service, waiting)
+            return head + raw
+        case Registration(flows):
+            return bytes((_REGISTRATION,)) + b''.join(flows)
         case Verdict(outcome, load, revision, flow, raw):
             head = _VERDICT_HEAD.pack(_VERDICT, outcome, load, revision, flow)
             return head + raw
@@ -151,14 +170,25 @@
             return Digest(*fields)
         case 4:
             return decode_changes(datagram[1:]).unwrap_or(None)
+        case 5:
+            return _decode_registration(datagram)
         case _:
             return None
 
 
 def _decode_forward(datagram: bytes) -> Forward:
-    _, purpose, service = _FORWARD_HEAD.unpack_from(datagram)
+    _, purpose, service, waiting = _FORWARD_HEAD.unpack_from(datagram)
     raw = datagram[_FORWARD_HEAD.size :]
-    return Forward(Purpose(purpose), service, raw)
+    entry = inet_ntoa(waiting) if any(waiting) else ''
+    return Forward(Purpose(purpose), service, raw, entry)
+
+
+def _decode_registration(datagram: bytes) -> Registration:
+    starts = range(1, len(datagram), FLOW_KEY_BYTES)
+    flows = (datagram[start : start + FLOW_KEY_BYTES] for start in starts)
+    return Registration(
+        tuple(flow for flow in flows if len(flow) == FLOW_KEY_BYTES),
+    )
 
 
 def _decode_verdict(datagram: bytes) -> Verdict:
--- a/src/ragwortpost/datapath/process/_run.py
+++ b/src/ragwortpost/datapath/process/_run.py
@@ -23,6 +23,7 @@
 from ragwortpost.datapath.process._messages import (
     Digest,
     Forward,
+    Registration,
     Verdict,
     decode,
 )
@@ -219,20 +220,23 @@
             self._agent.open(outbound, to_peer, lambda: own.leaving)
 
     def _receive_peer(self, datagram: bytes, sender: HostPort) -> None:
+        host = sender[0]
         match decode(datagram):
             case Forward() as forward if self._agent is not None:
-                self._agent.receive_forward(forward, sender[0])
+                self._agent.receive_forward(forward, host)
+            case Registration() as registration if self._agent is not None:
+                self._agent.receive_registration(registration, host)
             case Verdict() as verdict if self._entry is not None:
-                self._entry.receive_verdict(verdict, sender[0])
+                self._entry.receive_verdict(verdict, host)
             case Digest() | Changes() as told:
-                self._gossip.receive(told, sender[0])
+                self._gossip.receive(told, host)
             case _:
-                self._log.write('datagram_unreadable', peer=sender[0])
+                self._log.write('datagram_unreadable', peer=host)
 
     async def _run_ticks(self) -> None:
         while True:
             entry = self._entry
-            busy = entry is not None and entry.has_openings
+            busy = entry is not None and entry.is_waiting
             pause = TICK_SECONDS if busy else IDLE_TICK_SECONDS
             asked = self._clock.monotonic()
             await asyncio.sleep(pause)
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -3,7 +3,12 @@
 from collections.abc import Sequence
 from typing import Final
 
-from ragwortpost.datapath.connection import Candidate, backlog_limit
+from ragwortpost.datapath.connection import (
+    Candidate,
+    FlowKey,
+    backlog_limit,
+    registrars_of,
+)
 from ragwortpost.datapath.process._context import NodeContext
 from ragwortpost.datapath.process._directory import Peer
 from ragwortpost.datapath.process._node_settings import NodeRole
@@ -46,6 +51,11 @@
             return True
         return self._clock.monotonic() - peer.heard > SILENT_SECONDS
 
+    def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
+        """Return the agents that a flow of a service is registered with."""
+        upstreams = self._state.fleet.upstreams.get(service, ())
+        return registrars_of(flow, [entry.host for entry in upstreams])
+
     def holders(self, service: str) -> Sequence[str]:
         """Return all agents that may hold flows of a service."""
         upstreams = self._state.fleet.upstreams.get(service, ())
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -24,6 +24,7 @@
 from ragwortpost.datapath.process._messages import (
     Digest,
     Forward,
+    Registration,
     Verdict,
     decode,
 )
@@ -237,6 +238,11 @@
             match decode(datagram):
                 case Forward() as forward:
                     self.agents[address[0]].receive_forward(forward, sender)
+                case Registration() as registration:
+                    self.agents[address[0]].receive_registration(
+                        registration,
+                        sender,
+                    )
                 case Verdict() as verdict:
                     entry = self.entry_nodes[address[0]]
                     entry.receive_verdict(verdict, sender)
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ragwortpost.datapath.connection import registrars_of
 from ragwortpost.datapath.connection.tests.packets import (
     caller_packet,
     flow_key,
@@ -93,6 +94,54 @@
         assert not network.resets
 
 
+class TestLargeFleet:
+    """A flow is found without asking every agent."""
+
+    def network(self) -> Network:
+        return Network(*(upstream(number) for number in range(1, 41)))
+
+    def test_through_its_registrars(self) -> None:
+        network = self.network()
+        holder = opened(network)
+        network.pass_time(0.5)
+        network.add_entry(SECOND_ENTRY)
+        network.sent.clear()
+        send_data(network, SECOND_ENTRY)
+        assert network.reached(FLOW) == [holder]
+        assert len(network.upstreams[holder].received) == 3
+        assert len(network.sent) <= 8
+
+    def test_when_all_its_registrars_have_restarted(self) -> None:
+        network = self.network()
+        holder = opened(network)
+        network.pass_time(0.5)
+        network.add_entry(SECOND_ENTRY)
+        for entry in network.entries:
+            if entry.host != holder:
+                network.start_agent(entry)
+        send_data(network, SECOND_ENTRY)
+        assert len(network.upstreams[holder].received) == 3
+        assert not network.resets
+
+    def test_when_its_registrars_are_silent(self) -> None:
+        network = self.network()
+        holder = opened(network)
+        network.pass_time(0.5)
+        network.add_entry(SECOND_ENTRY)
+        hosts = [entry.host for entry in network.entries]
+        network.dark.update(registrars_of(FLOW, hosts))
+        network.dark.discard(holder)
+        send_data(network, SECOND_ENTRY)
+        network.pass_time(0.05)
+        assert len(network.upstreams[holder].received) >= 3
+        assert not network.resets
+
+    def test_one_that_nobody_holds_is_reset(self) -> None:
+        network = self.network()
+        network.call(caller_packet(FLOW, length=20, acknowledged=77))
+        assert [packet.sequence for packet in network.resets] == [77]
+
+
 class TestResets:
     """A flow is reset only if nobody can hold it."""
 
--- a/standin/fleet/deployment.py
+++ b/standin/fleet/deployment.py
@@ -95,7 +95,7 @@
                         'name': service,
                         'maxConns': 500,
                         'warmupS': 1.0,
-                        'warmupPerS': 0.0,
+                        'warmupPerS': 0,
                     }
                     for service in set(routes.values())
                 ],
