--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -9,6 +9,8 @@
 
 # Seconds after which a process that was not heard of is forgotten.
 FORGET_SECONDS: Final = 30.0
+# Seconds after which a process that did not answer is worth another try.
+UNANSWERED_SECONDS: Final = 0.5
 # Seconds for which an entry that others name is worth a try.
 HEARSAY_SECONDS: Final = 5.0
 _MS: Final = 1000
@@ -40,6 +42,7 @@
         self.use_seeds(seeds)
         self._peers: dict[str, Peer] = {}
         self._named: dict[str, float] = {}
+        self._unanswered: dict[str, float] = {}
 
     def use_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses that are tried before others are known."""
@@ -65,12 +68,32 @@
             if entry != self._host:
                 self._named[entry] = now
 
+    def unknown_entries(self, digest: Digest) -> Sequence[str]:
+        """Return the entries that a digest names and nobody did before."""
+        return [
+            entry
+            for entry in digest.entries
+            if entry not in self._named and entry != self._host
+        ]
+
     def note_sign(self, host: str, now: float) -> None:
         """Note that a process lives."""
         peer = self._peers.get(host)
         if peer is not None:
             peer.heard = now
 
+    def note_unanswered(self, host: str, now: float) -> None:
+        """Note that a process did not answer in time."""
+        self._unanswered[host] = now
+
+    def is_unanswering(self, host: str, now: float) -> bool:
+        """Return whether a process lately failed to answer, to the last."""
+        failed = self._unanswered.get(host)
+        if failed is None or now - failed > UNANSWERED_SECONDS:
+            return False
+        peer = self._peers.get(host)
+        return peer is None or peer.heard < failed
+
     def note_load(self, host: str, load: float, now: float) -> None:
         """Note the load that a process reports."""
         peer = self._peers.get(host)
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -32,6 +32,8 @@
 # Seconds for an agent to answer a new flow before another one is tried; far
 # above an answer's usual time and below a caller's own repeat.
 OPENING_SECONDS: Final = 0.08
+# Seconds between ticks that show that the process is short of processor time.
+LAGGING_SECONDS: Final = 0.15
 # Seconds for registrars to name a flow's holder before all agents are asked.
 REGISTRAR_SECONDS: Final = 0.04
 # Why a flow is reset that all agents have denied.
@@ -65,11 +67,22 @@
         self._choice = UpstreamChoice(context)
         self._cache = FlowCache(context.clock.monotonic())
         self._last_packet = context.clock.monotonic()
+        self._last_tick = self._last_packet
         self._openings = Openings()
         self._searches = Searches()
         self._to_caller: Send | None = None
         self._to_peer: Send | None = None
 
+    @property
+    def quiet_seconds(self) -> float:
+        """Seconds since the last packet of a caller."""
+        return self._clock.monotonic() - self._last_packet
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether flows wait for agents' answers, so that ticks matter."""
+        return len(self._openings) > 0 or len(self._searches) > 0
+
     def open(self, to_caller: Send, to_peer: Send) -> None:
         """Send to callers and to peers through these from now on."""
         self._to_caller = to_caller
@@ -101,25 +114,14 @@
             case Outcome.REFUSED:
                 self._place_again(verdict.flow, agent)
 
-    @property
-    def quiet_seconds(self) -> float:
-        """Seconds since the last packet of a caller."""
-        return self._clock.monotonic() - self._last_packet
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether flows wait for agents' answers, so that ticks matter."""
-        return len(self._openings) > 0 or len(self._searches) > 0
-
     def tick(self) -> None:
         """Try other agents for flows that were not answered in time."""
         now = self._clock.monotonic()
-        for opening in self._openings.overdue(now - OPENING_SECONDS):
-            silent = opening.tried[-1]
-            self._log.flow('opening_timeout', opening.packet.flow, agent=silent)
-            self._place(opening)
-        for waiting in self._openings.waiting():
-            self._place(waiting)
+        if now - self._last_tick < LAGGING_SECONDS:
+            # Otherwise the answers may wait in the socket.
+            self._try_others(now)
+        self._last_tick = now
+        self._place_waiting()
         for search in self._searches.overdue(now - REGISTRAR_SECONDS):
             self._widen(search)
         self._searches.expire(now)
@@ -141,6 +143,25 @@
             'searches': len(self._searches),
         }
 
+    def _try_others(self, now: float) -> None:
+        """Place the flows again whose agents did not answer in time."""
+        for opening in self._openings.overdue(now - OPENING_SECONDS):
+            silent = opening.tried[-1]
+            self._directory.note_unanswered(silent, now)
+            self._log.flow('opening_timeout', opening.packet.flow, agent=silent)
+            self._place(opening)
+
+    def _place_waiting(self) -> None:
+        """Place the flows that wait, while upstreams have room."""
+        full = set()
+        for opening in self._openings.waiting():
+            service = self._state.fleet.service_of(opening.packet.flow)
+            if service in full and not self._is_overdue(opening):
+                continue
+            self._place(opening)
+            if self._openings.is_waiting(opening.packet.flow):
+                full.add(service)
+
     def _note_opened(self, flow: FlowKey, agent: str) -> None:
         opening = self._openings.get(flow)
         self._openings.end(flow)
@@ -190,15 +211,19 @@
 
     def _wait(self, opening: Opening) -> None:
         """Let a new flow wait for room, unless it has waited too long."""
-        flow = opening.packet.flow
-        route = self._state.fleet.routes.get(route_of(flow))
-        patience = route.timeout * WAIT_SHARE if route else 0
-        if self._clock.monotonic() - opening.began < patience:
+        if not self._is_overdue(opening):
             self._openings.wait(opening)
             return
+        flow = opening.packet.flow
         self._openings.end(flow)
         self._reset(flow, opening.packet.acknowledged, 'no upstream with room')
 
+    def _is_overdue(self, opening: Opening) -> bool:
+        """Return whether a flow has waited for too long to be served."""
+        route = self._state.fleet.routes.get(route_of(opening.packet.flow))
+        patience = route.timeout * WAIT_SHARE if route else 0
+        return self._clock.monotonic() - opening.began >= patience
+
     def _place_again(self, flow: FlowKey, agent: str) -> None:
         opening = self._openings.get(flow)
         if opening is None:
--- a/src/ragwortpost/datapath/process/_follower.py
+++ b/src/ragwortpost/datapath/process/_follower.py
@@ -38,6 +38,8 @@
 # Shortest and longest pause after a call that failed.
 RETRY_SECONDS: Final = 0.2
 MAX_RETRY_SECONDS: Final = 1.6
+# Longest pause of a process that has no view at all.
+NO_VIEW_RETRY_SECONDS: Final = 0.4
 
 
 class StoreError(RagwortpostError):
@@ -222,7 +224,11 @@
         self._log.write('store_failed', why=repr(problem))
         self._set_healthy(healthy=False)
         await asyncio.sleep(self._pause * self._rng.uniform(0.5, 1))
-        self._pause = min(self._pause * 2, MAX_RETRY_SECONDS)
+        longest = MAX_RETRY_SECONDS
+        if not self._state.revision:
+            # Nothing is served before there is a view.
+            longest = NO_VIEW_RETRY_SECONDS
+        self._pause = min(self._pause * 2, longest)
 
     def _set_healthy(self, *, healthy: bool) -> None:
         own = self._gossip.own
--- a/src/ragwortpost/datapath/process/_gossip.py
+++ b/src/ragwortpost/datapath/process/_gossip.py
@@ -77,6 +77,8 @@
 
     async def run(self) -> None:
         """Tell peers in rounds until cancelled."""
+        entries = self._directory.entries(self._clock.monotonic())
+        self.tell(entries, asks=True)
         while True:
             self.tell(self._round(), asks=True)
             await asyncio.sleep(ROUND_SECONDS * self._rng.uniform(0.8, 1.2))
@@ -116,6 +118,8 @@
 
     def _receive_digest(self, digest: Digest, host: str) -> None:
         now = self._clock.monotonic()
+        # A process that has just started is known to all entries at once.
+        self.tell(self._directory.unknown_entries(digest), asks=False)
         self._directory.note_digest(host, digest, now)
         if digest.revision > self._state.revision:
             self._start_pull(host)
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -41,7 +41,7 @@
         return [
             self._candidate(entry)
             for entry in fleet.upstreams.get(service, ())
-            if fleet.takes_new(entry) and not self._is_leaving(entry.host)
+            if fleet.takes_new(entry) and self._is_open(entry.host)
         ]
 
     def is_silent(self, agent: str) -> bool:
@@ -83,9 +83,12 @@
             return min(peer.load, backlog_limit(slots) - 1)
         return peer.load
 
-    def _is_leaving(self, agent: str) -> bool:
+    def _is_open(self, agent: str) -> bool:
         peer = self._directory.peers.get(agent)
-        return peer is not None and peer.digest.leaving
+        if peer is not None and peer.digest.leaving:
+            return False
+        now = self._clock.monotonic()
+        return not self._directory.is_unanswering(agent, now)
 
     def _is_holder(self, peer: Peer, service: str) -> bool:
         """Return whether a peer is an agent of a service and lives."""
