--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -22,6 +22,8 @@
 
     # Its last digest.
     digest: Digest
+    # The highest revision that its view was known to have.
+    revision: int
     # Monotonic seconds of the last sign of life.
     heard: float
     # Monotonic seconds of the last digest.
@@ -57,9 +59,17 @@
         """Take in what a process says of itself."""
         known = self._peers.get(host)
         if known is None:
-            self._peers[host] = Peer(digest, now, now, digest.load, now)
+            self._peers[host] = Peer(
+                digest,
+                digest.revision,
+                now,
+                now,
+                digest.load,
+                now,
+            )
         else:
             known.digest = digest
+            known.revision = digest.revision
             known.heard = now
             known.told = now
             known.load = digest.load
@@ -68,6 +78,17 @@
             if entry != self._host:
                 self._named[entry] = now
 
+    def note_revision(self, host: str, revision: int) -> None:
+        """Note that a process's view has reached a revision."""
+        peer = self._peers.get(host)
+        if peer is not None and peer.revision < revision:
+            peer.revision = revision
+
+    def revision_of(self, host: str) -> int:
+        """Return the revision of a process's view, zero if unknown."""
+        peer = self._peers.get(host)
+        return peer.revision if peer else 0
+
     def unknown_entries(self, digest: Digest) -> Sequence[str]:
         """Return the entries that a digest names and nobody did before."""
         return [
--- a/src/ragwortpost/datapath/process/_follower.py
+++ b/src/ragwortpost/datapath/process/_follower.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 from typing import Final, Protocol
 
 import xxhash
@@ -32,7 +32,12 @@
 AGENT_PATIENCE_SECONDS: Final = 1.5
 # Seconds between a change and the next watch, so that changes that follow each
 # other closely come in one answer.
-WATCH_PAUSE_SECONDS: Final = 0.1
+WATCH_PAUSE_SECONDS: Final = 0.2
+# A link that a reader's messages to all others would fill after a mass restart,
+# when the store changes several times a second.
+THIN_LINK_MEGABITS: Final = 50.0
+# Places that a process with such a link goes back in the order of readers.
+THIN_LINK_PLACES: Final = 4
 # Seconds between two looks at who reads.
 LOOK_SECONDS: Final = 0.2
 # Shortest and longest pause after a call that failed.
@@ -112,6 +117,8 @@
         """Prepare; :meth:`run` does the work and tells peers what it read."""
         self._clock = context.clock
         self._host = context.settings.host
+        link = context.settings.link_megabits
+        self._has_thin_link = link < THIN_LINK_MEGABITS
         self._is_entry = context.settings.upstream_side is None
         self._state = context.state
         self._directory = context.directory
@@ -143,15 +150,9 @@
 
     def _look(self) -> None:
         now = self._clock.monotonic()
-        own = rank(self._host)
-        others = [
-            host
-            for host, peer in self._directory.peers.items()
-            if is_reader(peer, now)
-        ]
-        if len(others) >= READERS:
+        if len(self._other_readers()) >= READERS:
             self._enough = now
-            if sum(rank(host) < own for host in others) >= READERS:
+            if not self._is_leading():
                 self._stop_reading()
             return
         if self._reading:
@@ -161,8 +162,25 @@
             self._lost_history = True
             self._log.write('reading', revision=self._state.revision)
 
+    def _other_readers(self) -> Sequence[str]:
+        now = self._clock.monotonic()
+        peers = self._directory.peers
+        return [host for host in peers if is_reader(peers[host], now)]
+
+    def _is_leading(self) -> bool:
+        """Return whether this process is among the first of the readers.
+
+        Only those tell all others of changes; after a mass restart there are
+        many more readers for a moment.
+        """
+        own = rank(self._host)
+        before = sum(rank(host) < own for host in self._other_readers())
+        return before < READERS
+
     def _patience(self, now: float) -> float:
         places = places_before(self._directory, self._host, now)
+        if self._has_thin_link:
+            places += THIN_LINK_PLACES
         if not self._is_entry:
             # Agents read when no entry is left that could.
             return AGENT_PATIENCE_SECONDS + PLACE_SECONDS * places
@@ -205,7 +223,7 @@
         self._lost_history = False
         self._pause = RETRY_SECONDS
         self._set_healthy(healthy=True)
-        if self._state.revision > before:
+        if self._state.revision > before and self._is_leading():
             self._gossip.spread(before)
 
     async def _probe(self) -> None:
--- a/src/ragwortpost/datapath/process/_gossip.py
+++ b/src/ragwortpost/datapath/process/_gossip.py
@@ -29,6 +29,9 @@
 DATAGRAM_BYTES: Final = 1300
 # Seconds that a peer may take to send what a process lacks.
 PULL_SECONDS: Final = 1.0
+# Seconds that a process waits for a change to reach it before it asks for it;
+# readers send changes to all at once.
+PULL_DELAY_SECONDS: Final = 0.15
 _LENGTH_BYTES: Final = 4
 _REVISION_BYTES: Final = 8
 _MS: Final = 1000
@@ -103,6 +106,7 @@
                 self._receive_digest(message, host)
             case Changes():
                 if not self._state.merge(message, host):
+                    self._directory.note_revision(host, message.revision)
                     self._start_pull(host)
 
     def spread(self, after: int) -> None:
@@ -184,6 +188,11 @@
         self._pull = loop.create_task(self._pull_from(host))
 
     async def _pull_from(self, host: str) -> None:
+        if self._state.revision:
+            # What is missing is probably on its way already.
+            await asyncio.sleep(PULL_DELAY_SECONDS)
+            if self._directory.revision_of(host) <= self._state.revision:
+                return
         try:
             async with asyncio.timeout(PULL_SECONDS):
                 message = await self._ask_changes(host)
--- a/src/ragwortpost/datapath/process/_node_settings.py
+++ b/src/ragwortpost/datapath/process/_node_settings.py
@@ -59,6 +59,8 @@
     store: StoreSettings
     # Whether the whole system starts for the first time.
     first_start: bool
+    # Megabits a second that the VM's link carries.
+    link_megabits: float
     # Seconds between two signs of life of an upstream in the store.
     heartbeat_seconds: float
     # Seconds between the request to stop and the kill.
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -67,6 +67,7 @@
         seeds=(),
         store=StoreSettings(('10.0.9.9', 8005), 100.0),
         first_start=True,
+        link_megabits=1000.0,
         heartbeat_seconds=1.0,
         stop_seconds=6.0,
         upstream_side=side,
--- a/src/ragwortpost/platform/_settings.py
+++ b/src/ragwortpost/platform/_settings.py
@@ -80,6 +80,7 @@
             reads_per_second=float(store['readsPerS']),
         ),
         first_start=bool(fields['bootstrap']),
+        link_megabits=float(fields['limits']['linkMbps']),
         heartbeat_seconds=fields['heartbeatMs'] / _MS,
         stop_seconds=float(fields['bounds']['graceS']),
         upstream_side=_upstream_side(fields),
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -50,6 +50,7 @@
     'seeds': ['10.1.0.10:8166'],
     'bootstrap': True,
     'heartbeatMs': 1200,
+    'limits': {'linkMbps': 1000.0},
     'bounds': {'graceS': 6},
     'app': '10.1.0.12:8165',
     'service': 'desk',
--- a/standin/fleet/deployment.py
+++ b/standin/fleet/deployment.py
@@ -234,6 +234,7 @@
             'seeds': [f'{one.host}:{CONTROL_PORT}' for one in entries[:3]],
             'bootstrap': self.first_start,
             'heartbeatMs': 400,
+            'limits': {'linkMbps': 1000.0},
             'bounds': {'graceS': 6},
             'platform': {
                 'address': f'{STORE[0]}:{STORE[1]}',
