--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -3,7 +3,9 @@
 The agent learns a flow from what its upstream sends, and what it learns this
 way is certain. An agent that started after its upstream can't know the flows
 that were open before; it offers a packet of an unknown flow to the upstream
-once, which returns the packet if the flow is not its own.
+once, which returns the packet if the flow is not its own. Flows reach the
+upstream through its agent alone, so one that started after the last agent
+ended holds none.
 """
 
 from collections import deque
@@ -84,6 +86,10 @@
         """Return the number of flows held."""
         return len(self._flows)
 
+    def note_complete(self) -> None:
+        """Note that the upstream holds no flows from before."""
+        self._complete = True
+
     def get(self, flow: FlowKey) -> HeldFlow | None:
         """Return what is known of a flow."""
         return self._flows.get(flow)
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 from typing import Final
 
 from ragwortpost._datagrams import HostPort, Send
@@ -43,6 +44,10 @@
 REGISTRATION_SECONDS: Final = 60.0
 # Flows registered in one datagram; with their head they fill most of one.
 REGISTRATION_FLOWS: Final = 100
+# The shortest time between the end of one agent and the start of the next; an
+# upstream that started within it has had no agent before.
+RESTART_GAP: Final = timedelta(seconds=0.3)
+_MS: Final = 1000
 # Seconds for which an upstream's silence to an offered packet is waited for.
 OFFER_SECONDS: Final = 3.0
 
@@ -83,6 +88,8 @@
         self._registered = FlowCache(now, REGISTRATION_SECONDS)
         self._outbound: Send | None = None
         self._to_peer: Send | None = None
+        self._started = context.clock.now()
+        context.state.subscribe(self._note_birth)
         self._is_stopping: Callable[[], bool] = bool
 
     @property
@@ -168,6 +175,15 @@
                 break
             self._offers.pop(flow)
 
+    def _note_birth(self) -> None:
+        """Learn from the upstream's start whether it can hold older flows."""
+        entry = self._state.fleet.by_host.get(self._settings.host)
+        if entry is None:
+            return
+        born = datetime.fromtimestamp(entry.born / _MS, UTC)
+        if born > self._started - RESTART_GAP:
+            self._flows.note_complete()
+
     def _pass_or_deny(
         self,
         forward: Forward,
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -82,6 +82,17 @@
             assert len(network.upstreams[other].received) == 1
         assert not network.resets
 
+    def test_an_upstream_as_new_as_its_agent_is_not_asked(self) -> None:
+        network = Network()
+        born = int(network.clock.now().timestamp() * 1000)
+        for entry in network.entries:
+            network.start_agent(entry, again=True)
+            fresh = replace(entry, ident=f'{entry.ident}-2', born=born)
+            network.publish(upstream_record(0, fresh))
+        network.call(caller_packet(FLOW, length=20, acknowledged=77))
+        assert not network.reached(FLOW)
+        assert len(network.resets) == 1
+
     def test_while_its_upstream_leaves(self) -> None:
         network = Network()
         holder = opened(network)
