A lapsed upstream with a silent agent holds no flows; ragwortpost ask

Searches waited for agents whose entry had left the store, for the grace that lapsed entries get. Test: a flow is reset as soon as entry and agent are gone, and not before.

--- a/src/ragwortpost/cli/_main.py
+++ b/src/ragwortpost/cli/_main.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from ragwortpost.cli._ask import ask_audit, ask_metrics, ask_status
+from ragwortpost.cli._ask_node import add_ask_command, ask_node
 from ragwortpost.cli._exit_codes import ExitCode
 from ragwortpost.cli._program import NODE_COMMAND
 from ragwortpost.cli._settings_commands import check, explain
@@ -27,6 +28,8 @@
   ragwortpost entry --config entry-1.ini
   ragwortpost agent --config agent.ini
   ragwortpost node
+  ragwortpost ask 10.1.0.10:7721 status
+  ragwortpost ask 10.1.0.10:7721 flow --id 100.64.0.7:40001-198.18.0.1:443
   ragwortpost check tree.ini
   ragwortpost explain tree.ini badge-desk/hall-north/1
   ragwortpost status --config agent.ini
@@ -58,6 +61,7 @@
         NODE_COMMAND,
         help="run the role that the platform's settings file names",
     )
+    add_ask_command(commands)
     checking = commands.add_parser('check', help='check a settings tree')
     checking.add_argument('tree', type=Path)
     explaining = commands.add_parser(
@@ -98,6 +102,8 @@
 
 def _run_command(options: argparse.Namespace) -> int:
     match options.command:
+        case 'ask':
+            return ask_node(options.address, options.page, options.id)
         case 'check':
             return check(options.tree.read_bytes(), sys.stdout)
         case 'explain':
--- a/src/ragwortpost/datapath/process/_log_output.py
+++ b/src/ragwortpost/datapath/process/_log_output.py
@@ -7,6 +7,7 @@
 
 import logging
 import queue
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import ExitStack
@@ -19,6 +20,10 @@
 QUEUED_LINES: Final = 2000
 # The logger that all modules of the data path write to.
 LOGGER_NAME: Final = 'ragwortpost'
+# How often, and how many times, a process that ends looks whether all its lines
+# are written; a fifth of a second in all.
+FLUSH_POLL_SECONDS: Final = 0.005
+FLUSH_POLLS: Final = 40
 DROPPED: Final = 'log line dropped'
 
 
@@ -65,5 +70,14 @@
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
+    stack.callback(_flush, lines)
     stack.callback(logger.removeHandler, handler)
     listener.start()
+
+
+def _flush(lines: 'queue.Queue[logging.LogRecord]') -> None:
+    """Wait until all lines are written, but not for a reader that stands."""
+    for _ in range(FLUSH_POLLS):
+        if not lines.unfinished_tasks:
+            return
+        time.sleep(FLUSH_POLL_SECONDS)
--- a/src/ragwortpost/datapath/process/_state.py
+++ b/src/ragwortpost/datapath/process/_state.py
@@ -92,16 +92,20 @@
         warm_at = self._warm_at.get(ident, _NEVER)
         return max(0, warm_at - self._clock.monotonic())
 
+    def is_lapsed(self, ident: str) -> bool:
+        """Return whether an upstream's entry vanished without notice."""
+        return ident in self._lapsed
+
     def expire(self) -> None:
         """Drop upstreams whose entries did not come back in time."""
         now = self._clock.monotonic()
         overdue = [
-            subject
-            for subject, (lapsed, _) in self._lapsed.items()
+            ident
+            for ident, (lapsed, _) in self._lapsed.items()
             if now - lapsed > LAPSE_SECONDS
         ]
-        for subject in overdue:
-            self._lapsed.pop(subject)
+        for ident in overdue:
+            self._lapsed.pop(ident)
         if overdue:
             self._arrange()
 
@@ -111,17 +115,17 @@
         previous: Record | None,
         now: float,
     ) -> None:
-        self._lapsed.pop(record.subject, None)
         match record.document:
             case UpstreamEntry(ident=ident, warm_up_left=left):
+                self._lapsed.pop(ident, None)
                 self._warm_at[ident] = now + left
             case None if previous is not None:
                 self._note_deleted(previous, now)
 
     def _note_deleted(self, previous: Record, now: float) -> None:
         match previous.document:
-            case UpstreamEntry(leaving=False):
-                self._lapsed[previous.subject] = (now, previous)
+            case UpstreamEntry(ident=ident, leaving=False):
+                self._lapsed[ident] = (now, previous)
             case UpstreamEntry(ident=ident):
                 self._warm_at.pop(ident, None)
 
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -41,7 +41,9 @@
         return [
             self._candidate(entry)
             for entry in fleet.upstreams.get(service, ())
-            if fleet.takes_new(entry) and self._is_open(entry.host)
+            if fleet.takes_new(entry)
+            and self._is_open(entry.host)
+            and not self._is_lost(entry)
         ]
 
     def is_silent(self, agent: str) -> bool:
@@ -59,7 +61,9 @@
     def holders(self, service: str) -> Sequence[str]:
         """Return all agents that may hold flows of a service."""
         upstreams = self._state.fleet.upstreams.get(service, ())
-        hosts = {entry.host: None for entry in upstreams}
+        hosts = {
+            entry.host: None for entry in upstreams if not self._is_lost(entry)
+        }
         for host, peer in self._directory.peers.items():
             if self._is_holder(peer, service):
                 hosts[host] = None
@@ -83,6 +87,12 @@
             return min(peer.load, backlog_limit(slots) - 1)
         return peer.load
 
+    def _is_lost(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream left the store and its agent is silent."""
+        if not self._state.is_lapsed(entry.ident):
+            return False
+        return self.is_silent(entry.host)
+
     def _is_open(self, agent: str) -> bool:
         peer = self._directory.peers.get(agent)
         if peer is not None and peer.digest.leaving:
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_admin.py
@@ -0,0 +1,138 @@
+"""Tests of what operators are shown, and of the log."""
+
+import io
+import json
+import logging
+import os
+import threading
+from collections import Counter
+from contextlib import ExitStack, suppress
+from http import HTTPStatus
+
+import pytest
+
+from ragwortpost.datapath.connection import describe_flow, parse_flow
+from ragwortpost.datapath.connection.tests.packets import (
+    flow_key,
+    opening,
+)
+from ragwortpost.datapath.process import open_log
+from ragwortpost.datapath.process._admin import Admin, AdminSources
+from ragwortpost.datapath.process._events import LINES_PER_SECOND, EventLog
+from ragwortpost.datapath.process._log_output import (
+    DROPPED,
+    LOGGER_NAME,
+    QUEUED_LINES,
+)
+from ragwortpost.datapath.process.tests.network import (
+    ENTRY,
+    ManualClock,
+    Network,
+)
+
+FLOW = flow_key()
+
+
+def admin_of(network: Network) -> Admin:
+    entry = network.entry
+    sources = AdminSources(entry.gauges, entry.explain_flow)
+    return Admin(network.contexts[ENTRY], sources)
+
+
+class TestPages:
+    """The pages of a node."""
+
+    def test_a_flow_is_explained(self) -> None:
+        network = Network()
+        network.call(opening(FLOW))
+        target = f'/flow?id={describe_flow(FLOW)}'
+        fields = json.loads(admin_of(network).answer(target).body)
+        assert fields['agent'] == network.holder(FLOW)
+        assert fields['service'] == 'desk'
+        assert fields['revision'] == network.revision
+
+    def test_an_upstream_is_explained(self) -> None:
+        admin = admin_of(Network())
+        fields = json.loads(admin.answer('/upstream?id=i-1').body)
+        assert fields['host'] == '10.0.0.1'
+        assert fields['changed'] == 2
+        assert fields['view_age'] == 0
+
+    def test_metrics_count_what_happened(self) -> None:
+        network = Network()
+        network.call(opening(FLOW))
+        text = admin_of(network).answer('/metrics').body
+        assert 'ragwortpost_events_total{event="opened"} 1' in text
+        assert 'ragwortpost_opening_seconds_count 1' in text
+        assert text.endswith('# EOF\n')
+
+    @pytest.mark.parametrize(
+        ('target', 'status'),
+        [
+            ('/flow?id=nonsense', HTTPStatus.BAD_REQUEST),
+            ('/flow', HTTPStatus.BAD_REQUEST),
+            ('/upstream?id=i-99', HTTPStatus.NOT_FOUND),
+            ('/other', HTTPStatus.NOT_FOUND),
+            ('/audit', HTTPStatus.OK),
+            ('/status', HTTPStatus.OK),
+        ],
+    )
+    def test_status(self, target: str, status: HTTPStatus) -> None:
+        assert admin_of(Network()).answer(target).status is status
+
+    def test_a_flow_survives_its_description(self) -> None:
+        assert parse_flow(describe_flow(FLOW)) == FLOW
+
+
+class TestLog:
+    """Lines are bounded and never block."""
+
+    def test_one_kind_does_not_flood_the_log(self) -> None:
+        clock = ManualClock()
+        counters: Counter[str] = Counter()
+        output = io.StringIO()
+        with ExitStack() as stack:
+            open_log(stack, output, counters)
+            log = EventLog(clock, counters)
+            for _ in range(LINES_PER_SECOND + 30):
+                log.write('reset', reason='test')
+            clock.time += 1
+            log.write('stopped')
+        lines = [json.loads(line) for line in output.getvalue().splitlines()]
+        kinds = Counter(line['event'] for line in lines)
+        assert kinds['reset'] == LINES_PER_SECOND
+        suppressed = next(one for one in lines if one['event'] == 'suppressed')
+        assert suppressed['lines'] == 30
+        assert counters['reset'] == LINES_PER_SECOND + 30
+
+    def test_a_reader_that_stands_still_blocks_nobody(self) -> None:
+        reading, writing = os.pipe()
+        counters: Counter[str] = Counter()
+        done = threading.Event()
+        with ExitStack() as stack:
+            output = stack.enter_context(os.fdopen(writing, 'w'))
+            open_log(stack, output, counters)
+            logger = logging.getLogger(LOGGER_NAME)
+
+            def write() -> None:
+                for _ in range(3 * QUEUED_LINES):
+                    logger.info({'event': 'test', 'text': 'x' * 100})
+                done.set()
+
+            threading.Thread(target=write, daemon=True).start()
+            assert done.wait(10)
+            assert counters[DROPPED] > 0
+            # Lets the writing thread end before the pipe is closed.
+            os.set_blocking(reading, False)
+            drain(reading)
+        os.close(reading)
+
+
+def drain(reading: int) -> None:
+    """Read what is written until nothing comes any more."""
+    pause = threading.Event()
+    for _ in range(100):
+        pause.wait(0.01)
+        with suppress(BlockingIOError):
+            for _ in iter(lambda: os.read(reading, 65536), b''):
+                pause.wait(0)
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -182,6 +182,22 @@
         network.call(caller_packet(FLOW, length=20))
         assert len(network.resets) == 1
 
+    def test_at_once_if_its_entry_lapsed_while_its_agent_is_silent(
+        self,
+    ) -> None:
+        network = Network()
+        gone = network.entries[0]
+        network.dark.add(gone.host)
+        network.pass_time(1.5)
+        network.call(caller_packet(FLOW, length=20))
+        assert not network.resets
+        network.publish(Record(f'upstream/{gone.ident}', 0, None))
+        network.call(caller_packet(FLOW, length=20))
+        assert not network.resets
+        network.pass_time(0.6)
+        network.call(caller_packet(FLOW, length=20))
+        assert len(network.resets) == 1
+
     def test_not_without_a_route_while_the_view_is_old(self) -> None:
         network = Network()
         packet = caller_packet(flow_key(port=999), length=20)
