--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,12 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= cedarline
 SEED ?= 1
+SEEDS ?= $(SEED)-$(SEED)
+SECONDS ?= 15
 PLATFORM ?=
 FILE ?= tests/scenarios/flows.feature
 
-.PHONY: setup run test lint scenario bench measures capacity pages binary proto clean
+.PHONY: setup run soak test lint scenario bench measures capacity pages binary proto clean
 
 setup: $(VENV)/.ready
 
@@ -22,6 +24,9 @@
 	$(BIN)/python -m standin.demo --deployment $(DEPLOYMENT) --seed $(SEED)
 endif
 
+soak: setup
+	$(BIN)/python -m standin.fleet.soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 test: setup
 	$(BIN)/python -m pytest
 
--- a/standin/fleet/callers.py
+++ b/standin/fleet/callers.py
@@ -52,6 +52,8 @@
         self.random = random.Random(host)
         self.next_port = 10000
         self.unsealed = 0
+        # Called with the caller's address when a flow is reset.
+        self.on_reset: Callable[[tuple[str, int]], None] | None = None
         self.socket: socket.socket | None = None
 
     def open(self, stack: ExitStack) -> None:
@@ -73,8 +75,11 @@
             self.unsealed += 1
             return
         flow = self.flows.get(segment.destination[1])
-        if flow is not None:
-            flow.take(segment)
+        if flow is None:
+            return
+        if segment.flags & RST and flow.is_open and self.on_reset is not None:
+            self.on_reset(segment.destination)
+        flow.take(segment)
 
     def new_flow(self, service: tuple[str, int]) -> 'CallerFlow':
         """Return a flow from a new port."""
--- a/standin/fleet/upstreams.py
+++ b/standin/fleet/upstreams.py
@@ -150,7 +150,10 @@
             'body': 'x' * int(str(request['size'])),
         }
         now = asyncio.get_running_loop().time()
-        self.streams[caller].write(json.dumps(response).encode() + b'\n', now)
+        stream = self.streams.get(caller)
+        if stream is not None:
+            # Otherwise the upstream has crashed meanwhile.
+            stream.write(json.dumps(response).encode() + b'\n', now)
 
     async def run_timers(self) -> None:
         """Send again what was not acknowledged."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standin.fleet.demo import Demo
+from standin.fleet.soak import play
 
 
 class TestFleetDemo:
@@ -16,3 +17,13 @@
         demo = Demo(tmp_path)
         assert asyncio.run(demo.run()) == []
         assert demo.tally.counts['answered'] > 1000
+
+
+class TestSoak:
+    """A short soak; longer ones run by hand with ``make soak``."""
+
+    @pytest.mark.timeout(90)
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_every_promise_holds(self, seed: int) -> None:
+        soak = play(seed, seconds=8)
+        assert not soak.broken, soak.story
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,38 @@
+"""The operators' page names what the data path writes, and no more."""
+
+import re
+from itertools import chain
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+SOURCES = [
+    path.read_text()
+    for folder in ('datapath', 'platform')
+    for path in (ROOT / 'src' / 'ragwortpost' / folder).rglob('*.py')
+    if 'tests' not in path.parts
+]
+WRITTEN = re.compile(
+    r"(?:\.write|\.flow)\(\s*'([a-z_]+)'(?: if [a-z ]+ else '([a-z_]+)')?"
+    r"|'event': '([a-z_]+)'",
+)
+COUNTED = re.compile(r"_events\['([a-z_ ]+)'\]")
+
+
+def names_in(pattern: re.Pattern[str]) -> set[str]:
+    matches = pattern.finditer('\n'.join(SOURCES))
+    found = chain.from_iterable(match.groups() for match in matches)
+    return {name for name in found if name}
+
+
+class TestOperationsPage:
+    """Events and metrics of the page against those of the code."""
+
+    def test_every_event_has_its_row(self) -> None:
+        rows = set(re.findall(r'^\| `([a-z_]+)` \|', PAGE, re.MULTILINE))
+        assert rows == names_in(WRITTEN)
+
+    def test_every_counter_without_a_line_is_named(self) -> None:
+        counted = names_in(COUNTED)
+        assert counted
+        assert all(f'`{name}`' in PAGE for name in counted)
