--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -53,6 +53,14 @@
     # Whether an end of the flow was seen.
     ending: bool = False
 
+    @property
+    def is_established(self) -> bool:
+        """Whether the caller has answered this upstream's handshake.
+
+        Until then the caller may have opened the flow at another upstream.
+        """
+        return self.handshake is None
+
 
 class HeldFlows:
     """The flows of one upstream."""
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -299,7 +299,7 @@
             return
         for entry in entries:
             self._deny(Purpose.FIND, packet, entry)
-        if held is not None and packet.length:
+        if held is not None and held.is_established and packet.length:
             self._log.flow('flow_lost', packet.flow, held=self.held)
             self._reset(packet)
 
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -6,6 +6,7 @@
 
 from ragwortpost.datapath.connection import registrars_of
 from ragwortpost.datapath.connection.tests.packets import (
+    accepting,
     caller_packet,
     flow_key,
     opening,
@@ -156,6 +157,25 @@
 class TestResets:
     """A flow is reset only if nobody can hold it."""
 
+    def test_not_by_an_upstream_that_lost_the_race_for_it(self) -> None:
+        network = Network(upstream(1), upstream(2))
+        network.start_agent(network.entries[0], again=True)
+        network.dark.add('10.0.0.2')
+        slow = network.upstreams['10.0.0.1']
+        slow.answers = False
+        for number in range(2):
+            # One of the two entries places it at the slow upstream.
+            network.call(opening(flow_key(number)))
+        network.pass_time(0.1)
+        # Another upstream was faster: the caller sends to that one.
+        network.add_entry(SECOND_ENTRY)
+        stray = caller_packet(FLOW, length=20, acknowledged=9000)
+        network.call(stray, SECOND_ENTRY)
+        slow.send(accepting(FLOW))
+        slow.send(replace(stray, bounced=True))
+        assert slow.received[-1] == stray
+        assert not network.resets
+
     def test_one_that_nobody_holds_is_reset_at_once(self) -> None:
         network = Network()
         network.call(caller_packet(FLOW, length=20, acknowledged=77))
