Ask agents of other services before a flow is reset

Found on reading: after a route went to another service, an entry that did not know an open flow asked only the new service's agents and reset it. A search also sends each packet to an agent once.

--- a/src/ragwortpost/datapath/connection/_searches.py
+++ b/src/ragwortpost/datapath/connection/_searches.py
@@ -27,6 +27,8 @@
 
     # The caller's last packet.
     packet: Packet
+    # Agents that got this packet.
+    asked: set[str]
     # Agents that don't hold the flow.
     denied: set[str]
     # Monotonic seconds of the first question.
@@ -54,9 +56,10 @@
         """Return the search for a packet's flow, with the packet noted."""
         search = self._searches.get(packet.flow)
         if search is None:
-            search = Search(packet, set(), now)
+            search = Search(packet, set(), set(), now)
             self._searches[packet.flow] = search
         search.packet = packet
+        search.asked.clear()
         return search
 
     def end(self, flow: FlowKey) -> Search | None:
@@ -83,11 +86,14 @@
     search: Search,
     registrars: Collection[str],
     holders: Collection[str],
+    others: Collection[str],
 ) -> Collection[str]:
     """Return the agents that may still know where a flow is.
 
     Makes the search wide when there are few agents, or when every registrar
-    has denied the flow. Returns none if all holders have.
+    has denied the flow. When all agents of the route's service have, those of
+    other services are asked: the route may have gone there when the flow was
+    opened. Returns none if all agents have denied it.
     """
     if not search.wide:
         left = [one for one in registrars if one not in search.denied]
@@ -95,4 +101,5 @@
             # One at a time: each of them would pass the packet on.
             return left[:1]
         search.wide = True
-    return [one for one in holders if one not in search.denied]
+    left = [one for one in holders if one not in search.denied]
+    return left or [one for one in others if one not in search.denied]
--- a/src/ragwortpost/datapath/connection/tests/test_openings_and_searches.py
+++ b/src/ragwortpost/datapath/connection/tests/test_openings_and_searches.py
@@ -63,33 +63,41 @@
 
     def test_few_agents_are_all_asked_at_once(self) -> None:
         search = search_of()
-        assert set(whom_to_ask(search, ['a'], ['a', 'b'])) == {'a', 'b'}
+        assert set(whom_to_ask(search, ['a'], ['a', 'b'], [])) == {'a', 'b'}
         assert search.wide
 
     def test_silence_never_ends_a_search(self) -> None:
         search = search_of()
         search.denied.add('a')
         for _ in range(10):
-            assert whom_to_ask(search, ['a'], ['a', 'b']) == ['b']
+            assert whom_to_ask(search, ['a'], ['a', 'b'], []) == ['b']
 
     def test_it_ends_when_all_have_denied(self) -> None:
         search = search_of()
         search.denied.update('ab')
-        assert not whom_to_ask(search, ['a'], ['a', 'b'])
+        assert not whom_to_ask(search, ['a'], ['a', 'b'], [])
 
     def test_an_agent_that_left_is_not_waited_for(self) -> None:
         search = search_of()
         search.denied.add('a')
-        assert whom_to_ask(search, ['a'], ['a', 'b']) == ['b']
-        assert not whom_to_ask(search, ['a'], ['a'])
+        assert whom_to_ask(search, ['a'], ['a', 'b'], []) == ['b']
+        assert not whom_to_ask(search, ['a'], ['a'], [])
 
     def test_of_many_agents_the_registrars_are_asked_first(self) -> None:
         search = search_of()
-        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[:1]
+        assert whom_to_ask(search, REGISTRARS, MANY, []) == MANY[:1]
         search.denied.add(MANY[0])
-        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[1:2]
+        assert whom_to_ask(search, REGISTRARS, MANY, []) == MANY[1:2]
         search.denied.add(MANY[1])
-        assert whom_to_ask(search, REGISTRARS, MANY) == MANY[2:]
+        assert whom_to_ask(search, REGISTRARS, MANY, []) == MANY[2:]
+
+    def test_agents_of_other_services_are_asked_last(self) -> None:
+        search = search_of()
+        assert whom_to_ask(search, ['a'], ['a'], ['c']) == ['a']
+        search.denied.add('a')
+        assert whom_to_ask(search, ['a'], ['a'], ['c']) == ['c']
+        search.denied.add('c')
+        assert not whom_to_ask(search, ['a'], ['a'], ['c'])
 
     def test_old_searches_begin_again(self) -> None:
         searches = Searches()
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -39,6 +39,8 @@
 IDLE_SECONDS: Final = 30.0
 # Flows that an upstream holds at most, until the configuration says so.
 DEFAULT_CONNECTIONS: Final = 2000
+# Seconds between two looks for flows that were silent for too long.
+SWEEP_SECONDS: Final = 1.0
 # Seconds for which a registered flow is remembered at least: the age after
 # which a flow may be discarded.
 REGISTRATION_SECONDS: Final = 60.0
@@ -86,6 +88,7 @@
         self._unregistered = Unregistered()
         now = context.clock.monotonic()
         self._registered = FlowCache(now, REGISTRATION_SECONDS)
+        self._swept = now
         self._outbound: Send | None = None
         self._to_peer: Send | None = None
         self._started = context.clock.now()
@@ -167,7 +170,9 @@
     def tick(self) -> None:
         """Forget what is too old."""
         now = self._clock.monotonic()
-        self._flows.expire(now)
+        if now - self._swept >= SWEEP_SECONDS:
+            self._swept = now
+            self._flows.expire(now)
         self._registered.expire(now)
         self._register(now)
         for flow, offer in list(self._offers.items()):
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -253,13 +253,16 @@
         packet = search.packet
         registrars = self._choice.registrars(service, packet.flow)
         holders = self._choice.holders(service)
-        asked = whom_to_ask(search, registrars, holders)
+        others = self._choice.other_holders(service)
+        asked = whom_to_ask(search, registrars, holders, others)
         if holders and not asked:
             self._searches.end(packet.flow)
             self._reset(packet.flow, packet.acknowledged, UNHELD)
         purpose = Purpose.FIND if search.wide else Purpose.LOCATE
         for agent in asked:
-            self._forward(packet, agent, purpose)
+            if agent not in search.asked:
+                search.asked.add(agent)
+                self._forward(packet, agent, purpose)
 
     def _widen(self, search: Search) -> None:
         """Ask all agents for a flow that no registrar could name."""
@@ -269,19 +272,15 @@
             self._ask(search, service)
 
     def _note_not_held(self, verdict: Verdict, agent: str) -> None:
-        if verdict.raw:
+        search = self._searches.get(verdict.flow)
+        packet = self._packets.from_caller(verdict.raw)
+        if packet is not None:
             # The agent was to carry the packet: the cache was wrong.
             self._cache.forget(verdict.flow)
-            packet = self._packets.from_caller(verdict.raw)
-            if packet is not None:
-                self._search(packet)
-        search = self._searches.get(verdict.flow)
+            search = self._searches.begin(packet, self._clock.monotonic())
         service = self._state.fleet.service_of(verdict.flow)
-        if search is None or service is None or agent in search.denied:
-            return
-        search.denied.add(agent)
-        holders = self._choice.holders(service)
-        if not search.wide or search.denied.issuperset(holders):
+        if search is not None and service is not None:
+            search.denied.add(agent)
             self._ask(search, service)
 
     def _refuse_unrouted(self, packet: Packet) -> None:
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -46,6 +46,13 @@
             and not self._is_lost(entry)
         ]
 
+    def other_holders(self, service: str) -> Sequence[str]:
+        """Return the agents that may hold flows of any other service."""
+        others = [
+            name for name in self._state.fleet.upstreams if name != service
+        ]
+        return tuple(host for name in others for host in self.holders(name))
+
     def is_silent(self, agent: str) -> bool:
         """Return whether an agent was not heard of for a while."""
         peer = self._directory.peers.get(agent)
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -12,8 +12,11 @@
     opening,
 )
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
-from ragwortpost.datapath.version import Record, TakenOut
+from ragwortpost.datapath.version import Record, ServiceShare, TakenOut
 from ragwortpost.datapath.version.tests.documents import (
+    CONFIGURATION,
+    ROUTE,
+    configuration_record,
     upstream,
     upstream_record,
 )
@@ -94,6 +97,19 @@
         assert not network.reached(FLOW)
         assert len(network.resets) == 1
 
+    def test_after_its_route_went_to_another_service(self) -> None:
+        layout = upstream(4, service='layout')
+        network = Network(upstream(1), upstream(2), layout)
+        holder = opened(network)
+        moved = replace(ROUTE, shares=(ServiceShare('layout', 1.0),))
+        changed = replace(CONFIGURATION, version=9, routes=(moved,))
+        network.publish(configuration_record(0, changed))
+        network.add_entry(SECOND_ENTRY)
+        send_data(network, SECOND_ENTRY)
+        assert network.reached(FLOW) == [holder]
+        assert len(network.upstreams[holder].received) == 3
+        assert not network.resets
+
     def test_while_its_upstream_leaves(self) -> None:
         network = Network()
         holder = opened(network)
