The stand-in upstream returns packets of flows that were opened elsewhere

Cause: the stand-in took data of a flow that it had only answered, though the caller had acknowledged another upstream; the platform's upstreams return such packets. It also forgot its own number on a late copy of the first packet.

--- a/standin/fleet/upstreams.py
+++ b/standin/fleet/upstreams.py
@@ -34,6 +34,7 @@
         self.state = 'ready'
         self.streams: dict[tuple[str, int], Stream] = {}
         self.half_open: dict[tuple[str, int], int] = {}
+        self.firsts: dict[tuple[str, int], int] = {}
         self.texts: dict[tuple[str, int], bytearray] = {}
         self.slots = asyncio.Semaphore(SLOTS)
         self.runs: Counter[str] = Counter()
@@ -78,28 +79,32 @@
         """Handle one packet."""
         assert self.socket is not None
         raw = self.socket.recv(2000)
+        self.handle(raw, asyncio.get_running_loop().time())
+
+    def handle(self, raw: bytes, now: float) -> None:
+        """Take a packet, or return it if its flow is not open here."""
         segment = decode(raw)
         if not segment.sealed or segment.flags & BOUNCED:
             self.unsealed += 1
             return
         caller = segment.source
-        now = asyncio.get_running_loop().time()
         if segment.is_opening:
             self.accept(segment)
-        elif caller in self.half_open and self.finish(segment, now):
-            self.streams[caller].take(segment, now)
-        elif caller in self.streams:
+        elif self.is_open(segment, now):
             self.streams[caller].take(segment, now)
         else:
             self.send(bounce(raw))
 
+    def is_open(self, segment: Segment, now: float) -> bool:
+        """Return whether a packet's flow is open here, or opens with it."""
+        if segment.source in self.half_open:
+            return self.finish(segment, now)
+        return segment.source in self.streams
+
     def accept(self, segment: Segment) -> None:
         """Answer the packet that asks to open a flow."""
         caller = segment.source
-        first = self.half_open.setdefault(
-            caller,
-            self.random.randrange(1 << 32),
-        )
+        first = self.firsts.setdefault(caller, self.random.randrange(1 << 32))
         stream = Stream(
             segment.destination,
             caller,
@@ -109,8 +114,9 @@
         )
         stream.open(segment.sequence + 1)
         self.send(stream.packet(SYN | ACK, first, b''))
-        self.texts.setdefault(caller, bytearray())
         if caller not in self.streams:
+            self.half_open[caller] = first
+            self.texts[caller] = bytearray()
             self.streams[caller] = stream
 
     def finish(self, segment: Segment, now: float) -> bool:
@@ -168,6 +174,7 @@
         """Forget all flows, as a crash does."""
         self.streams.clear()
         self.half_open.clear()
+        self.firsts.clear()
 
     def send(self, raw: bytes) -> None:
         """Send a packet to the agent."""
--- /dev/null
+++ b/tests/test_fleet_standins.py
@@ -0,0 +1,54 @@
+"""The stand-ins of the users' platform keep to its protocol."""
+
+from standin.fleet.stream import BOUNCED, SYN, Segment, decode, encode
+from standin.fleet.upstreams import Upstream
+
+CALLER = ('127.20.3.1', 10001)
+SERVICE = ('198.18.0.1', 443)
+
+
+def packet(flags: int, acknowledged: int, data: bytes = b'') -> bytes:
+    return encode(
+        Segment(flags, SERVICE, CALLER, 7, acknowledged, data, sealed=True),
+    )
+
+
+class RecordingUpstream(Upstream):
+    """An upstream without a socket that keeps what it sends."""
+
+    def __init__(self) -> None:
+        super().__init__('i-1', 'desk', '127.20.2.1', 'north')
+        self.sent: list[Segment] = []
+
+    def send(self, raw: bytes) -> None:
+        """Keep a packet."""
+        self.sent.append(decode(raw))
+
+
+class TestUpstream:
+    """Which packets an upstream takes."""
+
+    def test_a_flow_opened_elsewhere_is_returned(self) -> None:
+        upstream = RecordingUpstream()
+        upstream.handle(packet(SYN, 0), 0)
+        first = upstream.sent[-1].sequence
+        stray = packet(0, (first + 5000) % (1 << 32), b'{"id": 1}\n')
+        upstream.handle(stray, 0)
+        assert upstream.sent[-1].flags & BOUNCED
+        assert not upstream.opened
+        assert not upstream.runs
+
+    def test_a_late_copy_changes_nothing(self) -> None:
+        upstream = RecordingUpstream()
+        upstream.handle(packet(SYN, 0), 0)
+        first = upstream.sent[-1].sequence
+        upstream.handle(packet(0, first + 1), 0)
+        upstream.handle(packet(SYN, 1), 0)
+        assert upstream.sent[-1].sequence == first
+        upstream.handle(packet(0, first + 1), 0)
+        assert not upstream.sent[-1].flags & BOUNCED
+
+    def test_a_flow_that_it_never_saw_is_returned(self) -> None:
+        upstream = RecordingUpstream()
+        upstream.handle(packet(0, 9), 0)
+        assert upstream.sent[-1].flags & BOUNCED
