--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,7 +20,11 @@
 
 
 class TestSoak:
-    """A short soak; longer ones run by hand with ``make soak``."""
+    """A short soak; longer ones run by hand with ``make soak``.
+
+    Seed 1 failed once beside other load: the stand-in upstream took data of a
+    flow that the caller had opened elsewhere.
+    """
 
     @pytest.mark.timeout(90)
     @pytest.mark.parametrize('seed', [1, 2])
