--- a/standin/fleet/demo.py
+++ b/standin/fleet/demo.py
@@ -16,6 +16,7 @@
 
 from standin.fleet.callers import Caller, CallerHost, Tally
 from standin.fleet.deployment import (
+    NETWORK,
     PACKET_PORT,
     SERVICE_HOST,
     Deployment,
@@ -32,8 +33,8 @@
 class Demo:
     """One play."""
 
-    def __init__(self, folder: Path) -> None:
-        self.deployment = Deployment(folder)
+    def __init__(self, folder: Path, network: int = NETWORK) -> None:
+        self.deployment = Deployment(folder, network)
         self.tally = Tally()
         self.hosts: list[CallerHost] = []
         self.broken: list[str] = []
@@ -64,7 +65,7 @@
         """Start users of both services, with long flows and short ones."""
         for number in range(1, 5):
             host = CallerHost(
-                f'127.20.3.{number}',
+                self.deployment.address(3, number),
                 PACKET_PORT,
                 self.deployment.route,
             )
--- a/standin/fleet/deployment.py
+++ b/standin/fleet/deployment.py
@@ -22,7 +22,9 @@
 PEER_PORT = 21004
 OUTBOUND_PORT = 21006
 UPSTREAM_PORT = 21007
-STORE = ('127.20.0.1', 21008)
+STORE_PORT = 21008
+# Second byte of the loopback addresses of one deployment.
+NETWORK = 20
 SERVICE_HOST = '198.18.0.1'
 PROBE_SECONDS = 0.25
 PROBE_MISSES = 2
@@ -47,8 +49,9 @@
 class Deployment:
     """Store, machines and routers."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, network: int = NETWORK) -> None:
         self.folder = folder
+        self.network = network
         self.store = Store()
         self.machines: dict[str, Machine] = {}
         self.first_start = True
@@ -57,6 +60,10 @@
         self.stack = AsyncExitStack()
         self.sockets = ExitStack()
 
+    def address(self, kind: int, number: int) -> str:
+        """Return a loopback address of this deployment."""
+        return f'127.{self.network}.{kind}.{number}'
+
     async def start(
         self,
         stack: AsyncExitStack,
@@ -65,7 +72,7 @@
         """Open the store and the routers until ``stack`` closes."""
         self.stack = stack
         self.sockets = stack.enter_context(ExitStack())
-        await self.store.serve(stack, *STORE)
+        await self.store.serve(stack, self.address(0, 1), STORE_PORT)
         self.publish(routes)
         prober = asyncio.create_task(self.probe_all())
         stack.callback(prober.cancel)
@@ -105,12 +112,12 @@
 
     def add_entry(self, number: int, zone: str) -> Machine:
         """Start an entry."""
-        machine = Machine(f'entry-{number}', f'127.20.1.{number}', zone)
+        machine = Machine(f'entry-{number}', self.address(1, number), zone)
         return self._add(machine)
 
     def add_upstream(self, number: int, service: str, zone: str) -> Machine:
         """Start an upstream and the agent beside it."""
-        host = f'127.20.2.{number}'
+        host = self.address(2, number)
         upstream = Upstream(f'i-{number}', service, host, zone)
         upstream.open(self.sockets, UPSTREAM_PORT, OUTBOUND_PORT)
         self.store.put(f'servers/{upstream.ident}', upstream.entry)
@@ -237,7 +244,7 @@
             'limits': {'linkMbps': 1000.0},
             'bounds': {'graceS': 6},
             'platform': {
-                'address': f'{STORE[0]}:{STORE[1]}',
+                'address': f'{self.address(0, 1)}:{STORE_PORT}',
                 'readsPerS': 2000,
             },
             **extra,
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -19,6 +19,7 @@
 from standin.fleet.callers import Caller, CallerHost, Tally
 from standin.fleet.demo import DRAIN_SECONDS, ROUTES
 from standin.fleet.deployment import (
+    NETWORK,
     PACKET_PORT,
     SERVICE_HOST,
     Deployment,
@@ -54,10 +55,16 @@
 class Soak:
     """One run of one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        network: int = NETWORK,
+    ) -> None:
         self.random = random.Random(seed)
         self.seconds = seconds
-        self.deployment = Deployment(folder)
+        self.deployment = Deployment(folder, network)
         self.tally = Tally()
         self.link = Link(random.Random(seed))
         self.hosts: list[CallerHost] = []
@@ -95,7 +102,8 @@
     def start_callers(self, stack: AsyncExitStack, sockets: ExitStack) -> None:
         """Start users of both services, with long flows and short ones."""
         for number in range(1, 4):
-            host = CallerHost(f'127.20.3.{number}', PACKET_PORT, self.route)
+            address = self.deployment.address(3, number)
+            host = CallerHost(address, PACKET_PORT, self.route)
             host.on_reset = self.check_reset
             host.open(sockets)
             self.hosts.append(host)
@@ -285,12 +293,17 @@
 )
 
 
-def play(seed: int, seconds: float, logs: Path | None = None) -> Soak:
+def play(
+    seed: int,
+    seconds: float,
+    logs: Path | None = None,
+    network: int = NETWORK,
+) -> Soak:
     """Play one seed and return the run."""
     with tempfile.TemporaryDirectory() as folder:
         kept = logs / str(seed) if logs else Path(folder)
         kept.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, seconds, kept)
+        soak = Soak(seed, seconds, kept, network)
         asyncio.run(soak.run())
     return soak
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,15 +6,25 @@
 import pytest
 
 from standin.fleet.demo import Demo
+from standin.fleet.deployment import NETWORK
 from standin.fleet.soak import play
 
 
+def network_of(worker: str) -> int:
+    """Return a network for each worker that runs tests beside others."""
+    return NETWORK + int(worker.removeprefix('gw').replace('master', '0'))
+
+
 class TestFleetDemo:
     """A stop, a kill, a join, a leaving upstream and an outage."""
 
     @pytest.mark.timeout(90)
-    def test_every_promise_holds(self, tmp_path: Path) -> None:
-        demo = Demo(tmp_path)
+    def test_every_promise_holds(
+        self,
+        tmp_path: Path,
+        worker_id: str,
+    ) -> None:
+        demo = Demo(tmp_path, network_of(worker_id))
         assert asyncio.run(demo.run()) == []
         assert demo.tally.counts['answered'] > 1000
 
@@ -28,6 +38,6 @@
 
     @pytest.mark.timeout(90)
     @pytest.mark.parametrize('seed', [1, 2])
-    def test_every_promise_holds(self, seed: int) -> None:
-        soak = play(seed, seconds=8)
+    def test_every_promise_holds(self, seed: int, worker_id: str) -> None:
+        soak = play(seed, seconds=8, network=network_of(worker_id))
         assert not soak.broken, soak.story
