Count only callers that may still answer as load, and wait as long as they do

An abandoned flow blocked the queue of accepted ones, so that used flows behind it counted twice for a quarter of a second. Ruled out: requests whose response never came (none was older than 0.3 s). First requests are now waited for as long as the delays seen suggest (as a retransmission timer does), and each flow by itself. A copy of an opening packet tells how long its caller has waited; entries count their own wait from there and end it before the caller does. An agent that was not heard of since its entry started gets one new flow until it answers.

The tests of an abandoned flow and of the wait failed first.

--- /dev/null
+++ b/src/ragwortpost/datapath/connection/_first_requests.py
@@ -0,0 +1,67 @@
+"""Accepted flows whose caller has not sent its first request yet.
+
+Each of them is about to load the upstream, so it counts as a request at hand.
+Some callers have given up meanwhile, above all in a rush; how long one is
+waited for follows the delays seen, as a retransmission timer does.
+"""
+
+from typing import Final
+
+from ragwortpost.datapath.connection._packet import FlowKey
+
+# Longest and shortest wait for a first request, in seconds: a round trip to a
+# distant caller, and a timer's grain.
+MAX_WAIT_SECONDS: Final = 0.25
+MIN_WAIT_SECONDS: Final = 0.02
+# Weights of a new delay in the mean and in the deviation, and deviations
+# waited for beyond the mean, of the usual retransmission timer (RFC 6298).
+MEAN_WEIGHT: Final = 0.125
+DEVIATION_WEIGHT: Final = 0.25
+DEVIATIONS: Final = 4
+
+
+class FirstRequests:
+    """The flows of one upstream that were accepted and not used so far."""
+
+    def __init__(self) -> None:
+        """Start without flows, and without a delay seen."""
+        self._accepted: dict[FlowKey, float] = {}
+        self._mean: float | None = None
+        self._deviation: float = 0
+
+    @property
+    def wait(self) -> float:
+        """Seconds for which a first request is waited for."""
+        if self._mean is None:
+            return MAX_WAIT_SECONDS
+        wait = self._mean + DEVIATIONS * self._deviation
+        return min(max(wait, MIN_WAIT_SECONDS), MAX_WAIT_SECONDS)
+
+    def add(self, flow: FlowKey, now: float) -> None:
+        """Note that the upstream accepted a flow."""
+        self._accepted[flow] = now
+
+    def note_answer(self, flow: FlowKey, delay: float) -> None:
+        """Note that a caller answered the acceptance after a delay."""
+        self._accepted.pop(flow, None)
+        if self._mean is None:
+            self._mean = delay
+            self._deviation = delay / 2
+            return
+        error = delay - self._mean
+        self._mean += MEAN_WEIGHT * error
+        self._deviation += DEVIATION_WEIGHT * (abs(error) - self._deviation)
+
+    def drop(self, flow: FlowKey) -> None:
+        """Note that a flow ended."""
+        self._accepted.pop(flow, None)
+
+    def count(self, now: float) -> int:
+        """Return the flows whose first request may still come."""
+        limit = now - self.wait
+        while self._accepted:
+            flow = next(iter(self._accepted))
+            if self._accepted[flow] >= limit:
+                break
+            self._accepted.pop(flow)
+        return len(self._accepted)
--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -8,11 +8,11 @@
 ended holds none.
 """
 
-from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
+from ragwortpost.datapath.connection._first_requests import FirstRequests
 from ragwortpost.datapath.connection._packet import (
     SEQUENCE_SPAN,
     FlowKey,
@@ -22,9 +22,6 @@
 # Acknowledged bytes within which a caller's packet belongs to the handshake
 # that this upstream answered; both windows of a flow stay far below it.
 _HANDSHAKE_SPAN: Final = 262144
-# Seconds from an accepted flow to its first request, at most; a caller that
-# lives sends it one round trip later.
-_FIRST_REQUEST_SECONDS: Final = 0.25
 # Flows looked at in one sweep for expired ones; bounds the pause.
 _SWEEP_FLOWS: Final = 2000
 
@@ -75,7 +72,7 @@
         self._idle = idle
         self._flows: dict[FlowKey, HeldFlow] = {}
         self._foreign: dict[FlowKey, float] = {}
-        self._handshakes: deque[tuple[float, FlowKey]] = deque()
+        self._first_requests = FirstRequests()
         self._busy = 0
 
     @property
@@ -85,10 +82,7 @@
 
     def load(self, now: float) -> int:
         """Return the requests at hand, with those that are about to come."""
-        handshakes = self._handshakes
-        while handshakes and self._is_past(*handshakes[0], now):
-            handshakes.popleft()
-        return self._busy + len(handshakes)
+        return self._busy + self._first_requests.count(now)
 
     def __len__(self) -> int:
         """Return the number of flows held."""
@@ -120,6 +114,7 @@
             if not 0 < ahead < _HANDSHAKE_SPAN:
                 return Claim.NOT_HELD
             held.handshake = None
+            self._first_requests.note_answer(packet.flow, now - held.last_seen)
         self._note_caller(held, packet, now)
         return Claim.HELD
 
@@ -131,7 +126,7 @@
             handshake = packet.sequence if packet.accepts else None
             self._flows[packet.flow] = HeldFlow(now, handshake)
             if handshake is not None:
-                self._handshakes.append((now, packet.flow))
+                self._first_requests.add(packet.flow, now)
             return True
         held.last_seen = now
         if packet.length:
@@ -145,6 +140,7 @@
         """Forget a flow whose packet the upstream returned."""
         self._foreign[packet.flow] = now
         held = self._flows.pop(packet.flow, None)
+        self._first_requests.drop(packet.flow)
         if held is not None:
             self._set_busy(held, busy=False)
         return held
@@ -163,12 +159,6 @@
                 break
             self._foreign.pop(flow)
 
-    def _is_past(self, accepted: float, flow: FlowKey, now: float) -> bool:
-        if now - accepted > _FIRST_REQUEST_SECONDS:
-            return True
-        held = self._flows.get(flow)
-        return held is None or held.handshake is None
-
     def _note_caller(
         self,
         held: HeldFlow,
@@ -180,6 +170,7 @@
             self._set_busy(held, busy=True)
         if packet.resets:
             held.ending = True
+            self._first_requests.drop(packet.flow)
             self._set_busy(held, busy=False)
 
     def _set_busy(self, held: HeldFlow, *, busy: bool) -> None:
--- a/src/ragwortpost/datapath/connection/_openings.py
+++ b/src/ragwortpost/datapath/connection/_openings.py
@@ -46,7 +46,7 @@
 
     def begin(self, packet: Packet, now: float) -> Opening:
         """Record a new flow; it waits until an attempt is noted."""
-        opening = Opening(packet, now, now)
+        opening = Opening(packet, now - packet.waited, now)
         self._waiting[packet.flow] = opening
         return opening
 
--- a/src/ragwortpost/datapath/connection/_packet.py
+++ b/src/ragwortpost/datapath/connection/_packet.py
@@ -38,6 +38,9 @@
     acknowledged: int
     # The packet as it is sent on.
     raw: bytes
+    # Seconds since the caller's first packet of the flow, where the packet
+    # tells: only a copy of an opening packet does.
+    waited: float = 0
 
 
 class PacketFormat(Protocol):
--- a/src/ragwortpost/datapath/connection/tests/packets.py
+++ b/src/ragwortpost/datapath/connection/tests/packets.py
@@ -40,7 +40,8 @@
         packet.resets,
         packet.bounced,
     )
-    numbers = (packet.length, packet.sequence, packet.acknowledged)
+    waited = int(packet.waited * 1000)
+    numbers = (packet.length, packet.sequence, packet.acknowledged, waited)
     return (
         packet.flow
         + bytes(flags)
@@ -53,7 +54,7 @@
 
     def from_caller(self, raw: bytes) -> Packet | None:
         """Return a packet, none if it is too short."""
-        if len(raw) < 41:
+        if len(raw) < 49:
             return None
         return Packet(
             flow=raw[:12],
@@ -66,6 +67,7 @@
             sequence=int.from_bytes(raw[25:33]),
             acknowledged=int.from_bytes(raw[33:41]),
             raw=raw,
+            waited=int.from_bytes(raw[41:49]) / 1000,
         )
 
     def from_upstream(self, raw: bytes) -> Packet | None:
--- a/src/ragwortpost/datapath/connection/tests/test_held_flows.py
+++ b/src/ragwortpost/datapath/connection/tests/test_held_flows.py
@@ -81,6 +81,26 @@
         assert flows.load(0.1) == 1
         assert flows.load(0.5) == 0
 
+    def test_an_abandoned_flow_does_not_keep_others_counted(self) -> None:
+        flows = held_flows()
+        flows.note_upstream(accepting(FLOW), 0)
+        for number in range(1, 4):
+            used = flow_key(number)
+            flows.note_upstream(accepting(used), 0)
+            flows.claim(caller_packet(used, length=50), 0.01)
+            flows.note_upstream(caller_packet(used, length=90), 0.02)
+        assert flows.load(0.02) == 1
+
+    def test_a_first_request_is_waited_for_as_long_as_others_took(self) -> None:
+        flows = held_flows()
+        for number in range(1, 30):
+            used = flow_key(number)
+            flows.note_upstream(accepting(used), number)
+            flows.claim(caller_packet(used), number + 0.01)
+        flows.note_upstream(accepting(FLOW), 50)
+        assert flows.load(50.015) == 1
+        assert flows.load(50.03) == 0
+
     def test_a_flow_that_ends_counts_no_more(self) -> None:
         flows = held_flows()
         flows.note_upstream(accepting(FLOW), 0)
--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -47,6 +47,7 @@
         self._peers: dict[str, Peer] = {}
         self._named: dict[str, float] = {}
         self._unanswered: dict[str, float] = {}
+        self._attempts: dict[str, float] = {}
 
     def use_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses that are tried before others are known."""
@@ -59,6 +60,7 @@
 
     def note_digest(self, host: str, digest: Digest, now: float) -> None:
         """Take in what a process says of itself."""
+        self._attempts.pop(host, None)
         known = self._peers.get(host)
         if known is None:
             self._peers[host] = Peer(
@@ -101,6 +103,7 @@
 
     def note_sign(self, host: str, now: float) -> None:
         """Note that a process lives."""
+        self._attempts.pop(host, None)
         peer = self._peers.get(host)
         if peer is not None:
             peer.heard = now
@@ -117,6 +120,14 @@
         peer = self._peers.get(host)
         return peer is None or peer.heard < failed
 
+    def is_attempted(self, host: str, now: float) -> bool:
+        """Return whether a new flow was just sent to a process.
+
+        False once the process was heard of again.
+        """
+        sent = self._attempts.get(host)
+        return sent is not None and now - sent < UNANSWERED_SECONDS
+
     def note_load(self, host: str, load: float, now: float) -> None:
         """Note the load that a process reports."""
         peer = self._peers.get(host)
@@ -126,6 +137,7 @@
 
     def add_load(self, host: str, now: float) -> None:
         """Count a flow placed at a process until its next report."""
+        self._attempts[host] = now
         peer = self._peers.get(host)
         if peer is not None:
             peer.load += 1
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -40,6 +40,9 @@
 # Part of a route's timeout for which a new flow may wait for an upstream; the
 # rest is for its request.
 WAIT_SHARE: Final = 0.6
+# Seconds for which a new flow waits at most: callers give it up after 1.4 s,
+# and the answer has to reach them before.
+MAX_WAIT_SECONDS: Final = 1.3
 # Seconds without confirmation after which the view may lack a new route, so
 # that a flow without a route is not refused.
 TRUSTED_VIEW_SECONDS: Final = 3.0
@@ -231,6 +234,7 @@
         """Return whether a flow has waited for too long to be served."""
         route = self._state.fleet.routes.get(route_of(opening.packet.flow))
         patience = route.timeout * WAIT_SHARE if route else 0
+        patience = min(patience, MAX_WAIT_SECONDS)
         return self._clock.monotonic() - opening.began >= patience
 
     def _place_again(self, flow: FlowKey, agent: str) -> None:
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -105,7 +105,11 @@
         if peer is not None and peer.digest.leaving:
             return False
         now = self._clock.monotonic()
-        return not self._directory.is_unanswering(agent, now)
+        if self._directory.is_unanswering(agent, now):
+            return False
+        # A silent agent gets one new flow, and more once it has answered.
+        attempted = self._directory.is_attempted(agent, now)
+        return not (attempted and self.is_silent(agent))
 
     def _is_holder(self, peer: Peer, service: str) -> bool:
         """Return whether a peer is an agent of a service and lives."""
--- a/src/ragwortpost/datapath/process/tests/test_codec.py
+++ b/src/ragwortpost/datapath/process/tests/test_codec.py
@@ -50,8 +50,9 @@
     @pytest.mark.parametrize('message', MESSAGES, ids=repr)
     def test_cut_short_is_never_an_error(self, message: Message) -> None:
         datagram = encode(message)
-        for length in range(len(datagram)):
-            decode(datagram[:length])
+        shorter = (datagram[:length] for length, _ in enumerate(datagram))
+        for cut in shorter:
+            decode(cut)
 
     @pytest.mark.parametrize('datagram', [b'', b'\x00', b'\xff' * 40])
     def test_unreadable(self, datagram: bytes) -> None:
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -1,10 +1,11 @@
 """Tests of entries and agents together: who gets each packet of a flow."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
 
-from ragwortpost.datapath.connection import registrars_of
+from ragwortpost.datapath.connection import Packet, registrars_of
 from ragwortpost.datapath.connection.tests.packets import (
     accepting,
     caller_packet,
@@ -41,6 +42,11 @@
     )
 
 
+def opening_after(seconds: float) -> Packet:
+    """Return the opening packet that a caller sends after some seconds."""
+    return caller_packet(FLOW, opens=True, acknowledged=0, waited=seconds)
+
+
 class TestEstablishedFlows:
     """Packets of an open flow reach its upstream, and no other."""
 
@@ -345,6 +351,47 @@
         assert [packet.flow for packet in network.resets] == [late]
 
 
+class TestPatience:
+    """How long a new flow waits, counted from its caller's first packet."""
+
+    @pytest.mark.parametrize(('waited', 'left'), [(0, 0.6), (0.2, 0.4)])
+    def test_a_copy_has_waited_before(self, waited: float, left: float) -> None:
+        network = Network(upstream(1))
+        network.publish(upstream_record(0, upstream(1, leaving=True)))
+        network.call(opening_after(waited))
+        network.pass_time(left - 0.05)
+        assert not network.resets
+        network.pass_time(0.1)
+        assert len(network.resets) == 1
+
+    def test_not_beyond_what_callers_wait(self) -> None:
+        network = Network(upstream(1))
+        slow = replace(ROUTE, timeout=5.0)
+        changed = replace(CONFIGURATION, version=9, routes=(slow,))
+        network.publish(configuration_record(0, changed))
+        network.publish(upstream_record(0, upstream(1, leaving=True)))
+        network.call(opening(FLOW))
+        network.pass_time(1.2)
+        assert not network.resets
+        network.pass_time(0.2)
+        assert len(network.resets) == 1
+
+
+class TestSilentAgents:
+    """After a mass restart, agents that are not heard of yet."""
+
+    def test_each_gets_one_new_flow_until_it_answers(self) -> None:
+        network = Network(*(upstream(number) for number in range(1, 6)))
+        network.dark.update(one.host for one in network.entries[1:])
+        network.pass_time(1.5)
+        network.sent.clear()
+        for number in range(30):
+            network.call(opening(flow_key(number)))
+        placed = Counter(receiver for _, receiver in network.sent)
+        for silent in network.entries[1:]:
+            assert placed[silent.host] <= 1
+
+
 class TestBacklog:
     """No upstream gets more than a short queue."""
 
--- a/src/ragwortpost/platform/_packets.py
+++ b/src/ragwortpost/platform/_packets.py
@@ -24,6 +24,9 @@
 _SOURCE_PORT: Final = slice(20, 22)
 _DESTINATION_PORT: Final = slice(22, 24)
 _PORTS: Final = slice(20, 24)
+# Seconds from a caller's first opening packet to each of its copies. The field
+# that acknowledges bytes in other packets counts the copies in these.
+_COPY_SECONDS: Final = (0, 0.2, 0.6)
 
 
 class PlatformPacketFormat:
@@ -90,4 +93,5 @@
         sequence,
         acknowledged,
         raw,
+        _COPY_SECONDS[min(acknowledged, 2)] if opening == _SYN else 0,
     )
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -73,6 +73,20 @@
         assert packet.sequence == 0x11223344
         assert describe_flow(packet.flow) == '100.64.0.7:40001-198.18.0.1:443'
 
+    @pytest.mark.parametrize(
+        ('copies', 'waited'),
+        [(0, 0), (1, 0.2), (2, 0.6), (3, 0.6)],
+    )
+    def test_a_copy_tells_how_long_its_caller_has_waited(
+        self,
+        copies: int,
+        waited: float,
+    ) -> None:
+        copy = SYN[:28] + copies.to_bytes(4)
+        packet = PlatformPacketFormat().from_caller(copy)
+        assert packet is not None
+        assert packet.waited == waited
+
     def test_a_reset(self) -> None:
         packets = PlatformPacketFormat()
         packet = packets.from_caller(SYN)
