Check the platform's settings file; bound the drain; close the store's connections

`ragwortpost check` reads the settings file that the platform writes for a process and names what is missing. A stop ends before the platform's kill, also where callers go on for long. The store client is closed by an exit stack. Settings that were decoded and never used are gone, and what a process remembers of others that have left is forgotten with them (addresses of entries and of agents that once failed to answer stayed for good). The soak picks its victims in one place; dead code of the stand-ins is removed.

--- a/src/ragwortpost/cli/_platform_command.py
+++ b/src/ragwortpost/cli/_platform_command.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+from contextlib import ExitStack
 from pathlib import Path
 
 from result import Err, Ok
@@ -32,10 +33,13 @@
 
 
 async def _run(settings: NodeSettings, source: SettingsFile) -> None:
-    ports = PlatformPorts(
-        PlatformPacketFormat(),
-        PlatformStore(settings.store.address),
-        answer_readiness,
-        source,
-    )
-    await run_node(settings, ports)
+    with ExitStack() as stack:
+        store = PlatformStore(settings.store)
+        stack.callback(store.close)
+        ports = PlatformPorts(
+            PlatformPacketFormat(),
+            store,
+            answer_readiness,
+            source,
+        )
+        await run_node(settings, ports)
--- a/src/ragwortpost/cli/_settings_commands.py
+++ b/src/ragwortpost/cli/_settings_commands.py
@@ -1,11 +1,12 @@
 """Checks and explains a settings tree before it is published."""
 
 from dataclasses import asdict
-from typing import TextIO
+from typing import Final, TextIO
 
 from result import Err, Ok
 
 from ragwortpost.cli._exit_codes import ExitCode
+from ragwortpost.platform import parse_settings
 from ragwortpost.version import (
     Level,
     Tree,
@@ -14,9 +15,17 @@
     parse_tree,
 )
 
+_BRACE: Final = b'{'
+
 
 def check(body: bytes, out: TextIO) -> int:
-    """Say whether every process would accept a settings tree."""
+    """Say whether every process would accept a settings tree.
+
+    A text that begins with a brace is taken for the settings file that the
+    platform writes for one process.
+    """
+    if body.lstrip().startswith(_BRACE):
+        return _check_node(body, out)
     match parse_snapshot(1, body):
         case Err(problem):
             out.write(f'rejected: {problem}\n')
@@ -29,6 +38,19 @@
             return ExitCode.DONE
 
 
+def _check_node(body: bytes, out: TextIO) -> int:
+    match parse_settings(body):
+        case Err(problem):
+            out.write(f'rejected: {problem}\n')
+            return ExitCode.REJECTED
+        case Ok(settings):
+            side = settings.upstream_side
+            role = f'agent of {side.service}' if side else 'entry'
+            out.write(f'accepted: {settings.name}, {role}, ')
+            out.write(f'store at {settings.store[0]}:{settings.store[1]}\n')
+            return ExitCode.DONE
+
+
 def explain(body: bytes, upstream: str, out: TextIO) -> int:
     """Show the levels an upstream inherits from and what is in force."""
     match parse_tree(body):
--- a/src/ragwortpost/datapath/process/__init__.py
+++ b/src/ragwortpost/datapath/process/__init__.py
@@ -10,7 +10,6 @@
 from ragwortpost.datapath.process._node_settings import (
     NodeRole,
     NodeSettings,
-    StoreSettings,
     UpstreamSide,
 )
 from ragwortpost.datapath.process._run import (
@@ -28,7 +27,6 @@
     'PlatformPorts',
     'StoreError',
     'StorePort',
-    'StoreSettings',
     'UpstreamSide',
     'open_log',
     'run_node',
--- a/src/ragwortpost/datapath/process/_directory.py
+++ b/src/ragwortpost/datapath/process/_directory.py
@@ -169,3 +169,7 @@
         for host, peer in list(self._peers.items()):
             if now - peer.heard > FORGET_SECONDS:
                 self._peers.pop(host)
+        for moments in (self._named, self._unanswered, self._attempts):
+            for host, moment in list(moments.items()):
+                if now - moment > FORGET_SECONDS:
+                    moments.pop(host)
--- a/src/ragwortpost/datapath/process/_node_settings.py
+++ b/src/ragwortpost/datapath/process/_node_settings.py
@@ -25,16 +25,6 @@
     outbound: HostPort
 
 
-@dataclass(frozen=True)
-class StoreSettings:
-    """How the platform's store is reached."""
-
-    # Its address.
-    address: HostPort
-    # Calls a second that it answers to all processes together.
-    reads_per_second: float
-
-
 @dataclass(frozen=True)
 class NodeSettings:
     """All that a process learns from its settings."""
@@ -55,14 +45,12 @@
     admin_port: int
     # Addresses of some entries, perhaps outdated.
     seeds: tuple[str, ...]
-    # The platform's store.
-    store: StoreSettings
+    # Address of the platform's store.
+    store: HostPort
     # Whether the whole system starts for the first time.
     first_start: bool
     # Megabits a second that the VM's link carries.
     link_megabits: float
-    # Seconds between two signs of life of an upstream in the store.
-    heartbeat_seconds: float
     # Seconds between the request to stop and the kill.
     stop_seconds: float
     # The upstream beside an agent; none for an entry.
--- a/src/ragwortpost/datapath/process/_run.py
+++ b/src/ragwortpost/datapath/process/_run.py
@@ -50,6 +50,9 @@
 # How often, and how many times, a stopping agent looks whether requests are
 # still in work; a second in all.
 POLL_SECONDS: Final = 0.05
+# Part of the time between the request to stop and the kill that a process uses
+# to leave service; the rest is for its last log lines.
+STOP_SHARE: Final = 0.8
 # Seconds shown as the age of a view that was never confirmed.
 _MAX_AGE: Final = 3600.0
 AGENT_POLLS: Final = 20
@@ -164,6 +167,15 @@
         self._gossip.own.leaving = True
         self._gossip.tell_all()
         self._log.write('stopping', revision=self._state.revision)
+        try:
+            async with asyncio.timeout(
+                self._settings.stop_seconds * STOP_SHARE
+            ):
+                await self._drain_role()
+        except TimeoutError:
+            self._log.write('drain_cut', seconds=self._settings.stop_seconds)
+
+    async def _drain_role(self) -> None:
         if self._entry is not None:
             await self._drain_entry(self._entry)
         if self._agent is not None:
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -16,7 +16,6 @@
 )
 from ragwortpost.datapath.process import (
     NodeSettings,
-    StoreSettings,
     UpstreamSide,
 )
 from ragwortpost.datapath.process._agent import Agent
@@ -68,10 +67,9 @@
         peer_port=8004,
         admin_port=8006,
         seeds=(),
-        store=StoreSettings(('10.0.9.9', 8005), 100.0),
+        store=('10.0.9.9', 8005),
         first_start=True,
         link_megabits=1000.0,
-        heartbeat_seconds=1.0,
         stop_seconds=6.0,
         upstream_side=side,
     )
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_directory.py
@@ -0,0 +1,82 @@
+"""Tests of what a process remembers of the others."""
+
+from ragwortpost.datapath.process._directory import (
+    FORGET_SECONDS,
+    HEARSAY_SECONDS,
+    UNANSWERED_SECONDS,
+    Directory,
+)
+from ragwortpost.datapath.process.tests.network import digest_of
+from ragwortpost.datapath.version.tests.documents import upstream
+
+OWN, SEED, NAMED = '10.0.1.1', '10.0.1.2', '10.0.1.3'
+AGENT = upstream(1).host
+
+
+def directory() -> Directory:
+    return Directory(OWN, (OWN, SEED))
+
+
+class TestEntries:
+    """Which other entries are worth a message."""
+
+    def test_seeds_before_anything_is_heard(self) -> None:
+        assert directory().entries(0) == (SEED,)
+
+    def test_one_that_others_name_for_a_while(self) -> None:
+        known = directory()
+        digest = digest_of(upstream(1), entries=(OWN, NAMED))
+        assert known.unknown_entries(digest) == [NAMED]
+        known.note_digest(AGENT, digest, 0)
+        assert not known.unknown_entries(digest)
+        assert set(known.entries(HEARSAY_SECONDS - 1)) == {SEED, NAMED}
+        assert set(known.entries(HEARSAY_SECONDS + 1)) == {SEED}
+
+    def test_one_forgotten_is_new_when_it_is_named_again(self) -> None:
+        known = directory()
+        digest = digest_of(upstream(1), entries=(NAMED,))
+        known.note_digest(AGENT, digest, 0)
+        known.expire(FORGET_SECONDS + 1)
+        assert known.unknown_entries(digest) == [NAMED]
+        assert AGENT not in known.peers
+
+
+class TestAnswers:
+    """Whether a process answers."""
+
+    def test_one_that_failed_to_answer_is_left_alone_for_a_while(self) -> None:
+        known = directory()
+        known.note_unanswered(AGENT, 1)
+        assert known.is_unanswering(AGENT, 1.1)
+        assert not known.is_unanswering(AGENT, 1.1 + UNANSWERED_SECONDS)
+
+    def test_a_sign_of_life_ends_that(self) -> None:
+        known = directory()
+        known.note_digest(AGENT, digest_of(upstream(1)), 0)
+        known.note_unanswered(AGENT, 1)
+        known.note_sign(AGENT, 1.1)
+        assert not known.is_unanswering(AGENT, 1.2)
+
+    def test_a_new_flow_is_an_attempt_until_the_agent_answers(self) -> None:
+        known = directory()
+        known.add_load(AGENT, 1)
+        assert known.is_attempted(AGENT, 1.1)
+        known.note_sign(AGENT, 1.2)
+        assert not known.is_attempted(AGENT, 1.2)
+
+    def test_an_old_attempt_counts_no_more(self) -> None:
+        known = directory()
+        known.add_load(AGENT, 1)
+        assert not known.is_attempted(AGENT, 1 + UNANSWERED_SECONDS)
+
+
+class TestLoad:
+    """Load is the last report and what was placed since."""
+
+    def test_placed_flows_count_until_the_next_report(self) -> None:
+        known = directory()
+        known.note_digest(AGENT, digest_of(upstream(1), load=2), 0)
+        known.add_load(AGENT, 0.1)
+        assert known.peers[AGENT].load == 3
+        known.note_load(AGENT, 1, 0.2)
+        assert known.peers[AGENT].load == 1
--- a/src/ragwortpost/platform/_settings.py
+++ b/src/ragwortpost/platform/_settings.py
@@ -11,13 +11,11 @@
 from ragwortpost._errors import RagwortpostError
 from ragwortpost.datapath.process import (
     NodeSettings,
-    StoreSettings,
     UpstreamSide,
 )
 
 # The environment variable that names the settings file.
 SETTINGS_VARIABLE: Final = 'RAGWORTPOST_CONFIG'
-_MS: Final = 1000
 _UNUSABLE: Final = (ValueError, TypeError, AttributeError, IndexError)
 
 
@@ -65,7 +63,6 @@
 
 def _settings(fields: Mapping[str, Any]) -> NodeSettings:
     addresses = fields['listenAddrs']
-    store = fields['platform']
     return NodeSettings(
         name=fields['nodeName'],
         host=fields['ip'],
@@ -75,13 +72,9 @@
         peer_port=int(fields['internalPortRange'][0]),
         admin_port=int(fields['internalPortRange'][0]) + 1,
         seeds=tuple(_address(seed)[0] for seed in fields['seeds'] or ()),
-        store=StoreSettings(
-            address=_address(store['address']),
-            reads_per_second=float(store['readsPerS']),
-        ),
+        store=_address(fields['platform']['address']),
         first_start=bool(fields['bootstrap']),
         link_megabits=float(fields['limits']['linkMbps']),
-        heartbeat_seconds=fields['heartbeatMs'] / _MS,
         stop_seconds=float(fields['bounds']['graceS']),
         upstream_side=_upstream_side(fields),
     )
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -177,6 +177,10 @@
         if late:
             self.broken.append(f'new flows at {machine.name}: {late}')
 
+    def pick_any(self) -> Machine:
+        """Return an entry or an agent, each kind as often."""
+        return self.pick(upstream=self.random.choice((True, False)))
+
     def pick(self, *, upstream: bool) -> Machine:
         """Return one of the entries or of the agents."""
         machines = [
@@ -189,28 +193,28 @@
 
 async def stop_one(soak: Soak) -> str:
     """Stop a process as planned; it starts again."""
-    machine = soak.pick(upstream=soak.random.choice((True, False)))
+    machine = soak.pick_any()
     soak.deployment.send_signal(machine, signal.SIGTERM)
     return f'SIGTERM {machine.name}'
 
 
 async def kill_one(soak: Soak) -> str:
     """Kill a process; it starts again."""
-    machine = soak.pick(upstream=soak.random.choice((True, False)))
+    machine = soak.pick_any()
     soak.deployment.send_signal(machine, signal.SIGKILL)
     return f'SIGKILL {machine.name}'
 
 
 async def reload_one(soak: Soak) -> str:
     """Tell a process that its settings changed."""
-    machine = soak.pick(upstream=soak.random.choice((True, False)))
+    machine = soak.pick_any()
     soak.deployment.send_signal(machine, signal.SIGHUP)
     return f'SIGHUP {machine.name}'
 
 
 async def pause_one(soak: Soak) -> str:
     """Pause a process for a while."""
-    machine = soak.pick(upstream=soak.random.choice((True, False)))
+    machine = soak.pick_any()
     soak.deployment.send_signal(machine, signal.SIGSTOP)
     asyncio.get_running_loop().call_later(
         soak.random.uniform(0.3, 2.5),
--- a/standin/fleet/upstreams.py
+++ b/standin/fleet/upstreams.py
@@ -10,7 +10,6 @@
 from standin.fleet.stream import (
     ACK,
     BOUNCED,
-    RST,
     SYN,
     Segment,
     Stream,
@@ -180,8 +179,3 @@
         """Send a packet to the agent."""
         if self.socket is not None:
             self.socket.sendto(raw, self.outbound)
-
-
-def is_reset(segment: Segment) -> bool:
-    """Return whether a packet breaks its flow off."""
-    return bool(segment.flags & RST)
