Place new flows without looking at every upstream of a service

One of the entry's own data centre that waits for less than the border costs wins anyway; far ones are now weighed only if there is none. The choices are the same (a test compares them). A change of the view no longer copies all records.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -29,6 +29,7 @@
     Candidate,
     backlog_limit,
     choose,
+    choose_near_first,
     expected_wait,
 )
 from ragwortpost.datapath.connection._registry import (
@@ -70,6 +71,7 @@
     'backlog_limit',
     'caller_of',
     'choose',
+    'choose_near_first',
     'describe_flow',
     'expected_wait',
     'parse_flow',
--- a/src/ragwortpost/datapath/connection/_placement.py
+++ b/src/ragwortpost/datapath/connection/_placement.py
@@ -8,7 +8,7 @@
 """
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -81,3 +81,20 @@
         open_to_it,
         key=lambda one: (expected_wait(one), rng.random()),
     )
+
+
+def choose_near_first(
+    near: Sequence[Candidate],
+    far: Callable[[], Sequence[Candidate]],
+    tried: Collection[str],
+    rng: random.Random,
+) -> Candidate | None:
+    """Choose as :func:`choose` does, and look at far candidates if need be.
+
+    A near one that waits for less than the border costs goes before every far
+    one, however idle, so that most choices look at one data centre only.
+    """
+    found = choose(near, tried, rng)
+    if found is not None and expected_wait(found) < FAR_PENALTY:
+        return found
+    return choose([*near, *far()], tried, rng)
--- a/src/ragwortpost/datapath/connection/tests/test_placement.py
+++ b/src/ragwortpost/datapath/connection/tests/test_placement.py
@@ -9,6 +9,8 @@
     Candidate,
     backlog_limit,
     choose,
+    choose_near_first,
+    expected_wait,
 )
 
 SERVICE_SECONDS = 0.035
@@ -56,6 +58,31 @@
         assert chosen == {IDLE, other()}
 
 
+class TestNearFirst:
+    """Far candidates are looked at only where they could win."""
+
+    @pytest.mark.parametrize('load', range(9))
+    def test_the_choice_is_the_same(self, load: int) -> None:
+        near = [replace(IDLE, load=load), other(load=load + 1)]
+        far = [
+            replace(IDLE, agent=f'10.1.0.{number}', near=False, load=number)
+            for number in range(4)
+        ]
+        for seed in range(20):
+            rng = random.Random(seed)
+            found = choose_near_first(near, lambda: far, (), rng)
+            everywhere = choose([*near, *far], (), random.Random(seed))
+            assert found is not None
+            assert everywhere is not None
+            assert expected_wait(found) == expected_wait(everywhere)
+
+    def test_far_ones_are_not_looked_at_while_a_near_one_is_idle(self) -> None:
+        def look() -> list[Candidate]:
+            raise AssertionError('looked at')
+
+        assert choose_near_first([IDLE], look, (), random.Random(1)) == IDLE
+
+
 class TestRush:
     """The load after a mass restart: 300 flows at once, 7 upstreams.
 
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -13,7 +13,6 @@
     PacketFormat,
     Question,
     caller_of,
-    choose,
     route_of,
 )
 from ragwortpost.datapath.process._context import NodeContext
@@ -58,7 +57,6 @@
         self._settings = context.settings
         self._state = context.state
         self._directory = context.directory
-        self._rng = context.rng
         self._log = context.log
         self._measures = context.measures
         self._events = context.measures.events
@@ -208,8 +206,7 @@
             self._openings.end(packet.flow)
             self._refuse_unrouted(packet)
             return
-        candidates = self._choice.candidates(service)
-        found = choose(candidates, opening.tried, self._rng)
+        found = self._choice.choose(service, opening.tried)
         if found is None:
             self._wait(opening)
             return
--- a/src/ragwortpost/datapath/process/_state.py
+++ b/src/ragwortpost/datapath/process/_state.py
@@ -1,6 +1,6 @@
 """The process's view of the fleet with its age; all roles decide by it."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
 from ragwortpost._clock import Clock
@@ -82,7 +82,7 @@
 
     def merge(self, changes: Changes, source: str) -> bool:
         """Take in changes; return false if earlier ones are missing."""
-        before = {record.subject: record for record in self._view.records}
+        before = self._records_before(changes)
         merged = self._view.merge(changes)
         if merged is None:
             return False
@@ -117,6 +117,13 @@
         if overdue:
             self._arrange()
 
+    def _records_before(self, changes: Changes) -> Mapping[str, Record]:
+        """Return the records that changes may replace, by subject."""
+        if changes.complete:
+            return {record.subject: record for record in self._view.records}
+        known = (self._view.get(record.subject) for record in changes.records)
+        return {record.subject: record for record in known if record}
+
     def _note(
         self,
         record: Record,
--- a/src/ragwortpost/datapath/process/_upstream_choice.py
+++ b/src/ragwortpost/datapath/process/_upstream_choice.py
@@ -1,12 +1,13 @@
 """Which upstreams an entry may ask: for new flows, and for unknown ones."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from ragwortpost.datapath.connection import (
     Candidate,
     FlowKey,
     backlog_limit,
+    choose_near_first,
     registrars_of,
 )
 from ragwortpost.datapath.process._context import NodeContext
@@ -35,19 +36,24 @@
         """Choose by the view and the directory of a process."""
         self._clock = context.clock
         self._data_centre = context.settings.data_centre
+        self._rng = context.rng
         self._state = context.state
         self._directory = context.directory
 
-    def candidates(self, service: str) -> Sequence[Candidate]:
-        """Return the upstreams of a service that may take a new flow."""
-        fleet = self._state.fleet
-        return [
-            self._candidate(entry)
-            for entry in fleet.upstreams.get(service, ())
-            if fleet.takes_new(entry)
-            and self._is_open(entry.host)
-            and not self._is_lost(entry)
-        ]
+    def choose(self, service: str, tried: Collection[str]) -> Candidate | None:
+        """Return the upstream that a new flow of a service should go to."""
+        near, far = [], []
+        for entry in self._state.fleet.upstreams.get(service, ()):
+            if entry.data_centre == self._data_centre:
+                near.append(entry)
+            else:
+                far.append(entry)
+        return choose_near_first(
+            self._candidates(near),
+            lambda: self._candidates(far),
+            tried,
+            self._rng,
+        )
 
     def other_holders(self, service: str) -> Sequence[str]:
         """Return the agents that may hold flows of any other service."""
@@ -79,6 +85,17 @@
                 hosts[host] = None
         return tuple(hosts)
 
+    def _candidates(self, entries: Iterable[UpstreamEntry]) -> list[Candidate]:
+        """Return the upstreams that may take a new flow."""
+        fleet = self._state.fleet
+        return [
+            self._candidate(entry)
+            for entry in entries
+            if fleet.takes_new(entry)
+            and self._is_open(entry.host)
+            and not self._is_lost(entry)
+        ]
+
     def _candidate(self, entry: UpstreamEntry) -> Candidate:
         peer = self._directory.peers.get(entry.host)
         return Candidate(
