--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PLATFORM ?=
 FILE ?= tests/scenarios/flows.feature
 
-.PHONY: setup run soak test lint scenario bench measures capacity pages binary proto clean
+.PHONY: setup run soak test lint scenario bench bench-datapath measures capacity pages binary proto clean
 
 setup: $(VENV)/.ready
 
@@ -47,6 +47,9 @@
 bench: setup binary
 	PYTHONPATH=. $(BIN)/python -m bench.speed
 
+bench-datapath: setup
+	PYTHONPATH=. $(BIN)/python -m bench.datapath
+
 pages: setup
 	PYTHONPATH=. $(BIN)/python -m bench.pages
 
--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -176,23 +176,23 @@
 
 def view_figures(count: int) -> dict[str, float]:
     """Return bytes and milliseconds of a view."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
     records = tuple(
         upstream_record(number + 1, one)
         for number, one in enumerate(upstreams(count))
     )
     whole = Changes(0, count, records)
+    view = View()
+    view.merge(whole)
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
     one = Changes(count, count + 1, (replace(records[0], revision=count + 1),))
     context = make_context(
         StillClock(),
         settings_of('10.200.0.1', None),
         random.Random(1),
     )
-    tracemalloc.start()
-    before = tracemalloc.get_traced_memory()[0]
-    view = View()
-    view.merge(whole)
-    held = tracemalloc.get_traced_memory()[0] - before
-    tracemalloc.stop()
     context.state.merge(whole, 'bench')
     began = time.process_time()
     context.state.merge(one, 'bench')
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -196,6 +196,62 @@
 """
 
 
+def render_datapath(figures: dict[str, Any]) -> str:
+    """Return the section of the packet-level data path."""
+    entry = {row['upstreams']: row for row in figures['entry']}
+    small, large = entry[45], entry[1000]
+    view = figures['view'][-1]
+    log = figures['log']
+    packets = FLOWS / 20 / NODES
+    opened = NEW_PER_S / NODES
+    changes = CHANGES_PER_DAY / DAY
+    told = changes * VMS * (view['change_bytes'] + 28)
+    entry_columns = {
+        'upstreams': 'upstreams of a service',
+        'known_us': 'known flow, us',
+        'opened_us': 'new flow, us',
+        'searched_us': 'unknown flow, us',
+    }
+    view_columns = {
+        'upstreams': 'upstreams',
+        'message_bytes': 'whole view sent, B',
+        'change_bytes': 'one change sent, B',
+        'view_bytes': 'view held, B',
+        'change_ms': 'one change taken in, ms',
+    }
+    held_mb = view['view_bytes'] / 1e6
+    change_cpu = changes * view['change_ms'] / 10
+    verdict = 'fits' if held_mb + 15 <= 32 else 'misses'
+    return f"""
+## The packet-level data path
+
+Made from `docs/datapath.json` (`make bench-datapath`): the processes of
+docs/PLATFORM.md, in processor time of one process, best of five rounds, on the
+same kind of machine while other programs ran.
+
+| matter | at the size | budget | verdict |
+|---|---|---|---|
+| packets of known flows at an entry, {packets:,.0f}/s | {packets * small['known_us'] / 1e4:.1f}% of a core (*extrapolated*) | data path | fits |
+| new flows at an entry, {opened:.0f}/s, services of 45 | {opened * small['opened_us'] / 1e4:.2f}% (*extrapolated*) | data path | fits |
+| the same, services of 1,000 | {opened * large['opened_us'] / 1e4:.1f}% (*extrapolated*) | data path | fits |
+| 2,414 flows held by an agent | {2414 * figures['agent']['flow_bytes'] / 1e6:.2f} MB (*extrapolated*) | 32 MB | fits |
+| view of {view['upstreams']:,} upstreams | {held_mb:.1f} MB (measured) beside 15 MB of a process | 32 MB | {verdict} |
+| changes taken in, {changes:.2f}/s | {change_cpu:.1f}% of a core (measured a change) | 1.8% | {'fits' if change_cpu <= CONTROL_CPU else 'misses'} |
+| a reader telling {VMS:,} processes of each change | {told / 1e6:.1f} MB/s (*extrapolated*) | 6 KB/s | misses {told / CONTROL_BYTES:,.0f} times over |
+| a log line | {log['line_us']:.0f} us written, {log['left_out_us']:.0f} us left out by the limit | | |
+
+Readers tell every process of a change today, which serves some hundred. At the
+size each process would tell a few that it knows, which the other interface's
+gossip does already; views would be sliced by service. Neither is built here.
+Each log line is bounded to 20 a second of a kind; the busiest second of the
+grown days had 127 lines in one process, {127 * log['line_us'] / 1e4:.1f}% of a core.
+
+{table(figures['entry'], entry_columns)}
+
+{table(figures['view'], view_columns)}
+"""
+
+
 def render_bench(speed: dict[str, Any]) -> str:
     """Return the page on speed."""
     entry, latency = speed['entry'], speed['latency']
@@ -295,7 +351,9 @@
     docs = Path('docs')
     capacity = json.loads((docs / 'capacity.json').read_text())
     speed = json.loads((docs / 'speed.json').read_text())
-    (docs / 'CAPACITY.md').write_text(render(capacity, speed))
+    datapath = json.loads((docs / 'datapath.json').read_text())
+    page = render(capacity, speed) + render_datapath(datapath)
+    (docs / 'CAPACITY.md').write_text(page)
     (docs / 'BENCH.md').write_text(render_bench(speed))
     measures = docs / 'measures.json'
     if measures.exists():
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_gossip.py
@@ -0,0 +1,198 @@
+"""Tests of gossip between processes, over sockets on loopback."""
+
+import asyncio
+import os
+import random
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from typing import Final
+
+from ragwortpost._clock import SystemClock
+from ragwortpost._datagrams import HostPort
+from ragwortpost.datapath.process._codec import decode
+from ragwortpost.datapath.process._context import make_context
+from ragwortpost.datapath.process._gossip import (
+    DATAGRAM_BYTES,
+    PULL_SECONDS,
+    Gossip,
+)
+from ragwortpost.datapath.process._messages import Digest
+from ragwortpost.datapath.process.tests.network import digest_of, settings_of
+from ragwortpost.datapath.version import Changes, Record, TakenOut
+from ragwortpost.datapath.version.tests.documents import (
+    upstream,
+    upstream_record,
+)
+
+# Parallel workers use networks of their own.
+WORKER: Final = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
+NETWORK: Final = f'127.61.{WORKER.removeprefix("gw")}'
+HOSTS: Final = (f'{NETWORK}.1', f'{NETWORK}.2')
+NOBODY: Final = f'{NETWORK}.9'
+LIAR: Final = f'{NETWORK}.8'
+SILENT: Final = f'{NETWORK}.7'
+PORT: Final = 21104
+KNOWN: Final = Changes(0, 5, (Record('out/a', 5, TakenOut('a')),))
+
+
+class Peer:
+    """One process's gossip; its datagrams are kept."""
+
+    def __init__(self, host: str) -> None:
+        settings = replace(settings_of(host, None), peer_port=PORT)
+        self.host = host
+        self.context = make_context(SystemClock(), settings, random.Random(1))
+        self.gossip = Gossip(self.context)
+        self.sent: list[tuple[str, bytes]] = []
+
+    @property
+    def revision(self) -> int:
+        return self.context.state.revision
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        await self.gossip.open(stack, self.send)
+
+    def send(self, datagram: bytes, address: HostPort) -> bool:
+        self.sent.append((address[0], datagram))
+        return True
+
+    def hear(self, host: str, revision: int) -> None:
+        digest = digest_of(upstream(1), role='entry', revision=revision)
+        self.gossip.receive(digest, host)
+
+    async def until(self, revision: int, seconds: float = 3) -> None:
+        async with asyncio.timeout(seconds):
+            while self.revision < revision:
+                await asyncio.sleep(0.01)
+
+
+def play(scenario: Callable[[Peer, Peer], Awaitable[None]]) -> None:
+    """Run a scenario with two peers."""
+
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            peers = [Peer(host) for host in HOSTS]
+            for peer in peers:
+                await peer.open(stack)
+            await scenario(*peers)
+
+    asyncio.run(run())
+
+
+class TestPulls:
+    """Who hears of a higher revision asks for what it lacks."""
+
+    def test_the_whole_state(self) -> None:
+        async def scenario(ahead: Peer, behind: Peer) -> None:
+            ahead.context.state.merge(KNOWN, 'test')
+            behind.hear(ahead.host, 5)
+            await behind.until(5)
+            assert behind.context.state.fleet.taken_out == {'a'}
+
+        play(scenario)
+
+    def test_only_what_is_missing(self) -> None:
+        async def scenario(ahead: Peer, behind: Peer) -> None:
+            added = Record('out/b', 6, TakenOut('b'))
+            for peer in (ahead, behind):
+                peer.context.state.merge(KNOWN, 'test')
+            ahead.context.state.merge(Changes(5, 6, (added,)), 'test')
+            behind.hear(ahead.host, 6)
+            await behind.until(6)
+            assert behind.context.state.fleet.taken_out == {'a', 'b'}
+
+        play(scenario)
+
+    def test_a_peer_that_does_not_serve_is_no_error(self) -> None:
+        async def scenario(ahead: Peer, behind: Peer) -> None:
+            behind.hear(NOBODY, 9)
+            await asyncio.sleep(0.1)
+            ahead.context.state.merge(KNOWN, 'test')
+            behind.hear(ahead.host, 5)
+            await behind.until(5)
+
+        play(scenario)
+
+    def test_a_peer_that_sends_rubbish_changes_nothing(self) -> None:
+        async def answer(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readexactly(8)
+            writer.write((3).to_bytes(4) + b'xyz')
+            writer.close()
+
+        async def scenario(_: Peer, behind: Peer) -> None:
+            liar = await asyncio.start_server(answer, LIAR, PORT)
+            behind.hear(LIAR, 9)
+            await asyncio.sleep(0.2)
+            assert behind.revision == 0
+            liar.close()
+
+        play(scenario)
+
+    def test_a_peer_that_falls_silent_does_not_block_others(self) -> None:
+        async def scenario(ahead: Peer, behind: Peer) -> None:
+            silent = await asyncio.start_server(
+                lambda *_: asyncio.sleep(9),
+                SILENT,
+                PORT,
+            )
+            behind.hear(SILENT, 9)
+            await asyncio.sleep(PULL_SECONDS + 0.2)
+            ahead.context.state.merge(KNOWN, 'test')
+            behind.hear(ahead.host, 5)
+            await behind.until(5)
+            silent.close()
+
+        play(scenario)
+
+
+class TestSpreading:
+    """Small changes travel to all; of large ones only the revision does."""
+
+    def test_a_small_change_in_one_datagram(self) -> None:
+        async def scenario(reader: Peer, _: Peer) -> None:
+            reader.hear(HOSTS[1], 0)
+            reader.context.state.merge(KNOWN, 'store')
+            reader.sent.clear()
+            reader.gossip.spread(0)
+            told = [decode(datagram) for _, datagram in reader.sent]
+            assert told == [KNOWN]
+
+        play(scenario)
+
+    def test_a_large_one_by_its_revision(self) -> None:
+        async def scenario(reader: Peer, _: Peer) -> None:
+            reader.hear(HOSTS[1], 0)
+            rng = random.Random(1)
+            records = tuple(
+                upstream_record(
+                    number,
+                    replace(upstream(1), ident=rng.randbytes(20).hex()),
+                )
+                for number in range(1, 200)
+            )
+            reader.context.state.merge(Changes(0, 200, records), 'store')
+            reader.sent.clear()
+            reader.gossip.spread(0)
+            told = [
+                decode(datagram)
+                for host, datagram in reader.sent
+                if host == HOSTS[1]
+            ]
+            assert [type(message) for message in told] == [Digest]
+            assert all(len(raw) <= DATAGRAM_BYTES for _, raw in reader.sent)
+
+        play(scenario)
+
+    def test_an_older_view_is_confirmed_by_its_age(self) -> None:
+        async def scenario(reader: Peer, _: Peer) -> None:
+            reader.context.state.merge(KNOWN, 'test')
+            assert reader.context.state.age > 100
+            digest = digest_of(upstream(1), revision=5, view_age_ms=1500)
+            reader.gossip.receive(digest, HOSTS[1])
+            assert 1.4 < reader.context.state.age < 2
+
+        play(scenario)
