--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -241,6 +241,16 @@
         assert [packet.sequence for packet in network.resets] == [77]
         assert not network.reached(FLOW)
 
+    def test_soon_after_the_last_agent_is_back(self) -> None:
+        # The caller's next copy may be 0.4 s and more away.
+        network = Network()
+        network.dark.add(network.entries[0].host)
+        network.call(caller_packet(FLOW, length=20))
+        network.dark.clear()
+        for _ in range(10):
+            network.pass_time(0.02)
+        assert len(network.resets) == 1
+
     def test_not_while_an_agent_is_silent(self) -> None:
         network = Network()
         network.dark.add(network.entries[0].host)
