--- a/src/ragwortpost/connection/_flow.py
+++ b/src/ragwortpost/connection/_flow.py
@@ -107,6 +107,7 @@
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
+        self._taking = False
         self._held = False
         self._ended = False
         self._resumed: list[Exchange] = []
@@ -142,7 +143,10 @@
 
     def probe(self) -> None:
         """Make the caller send again what was lost on its way here."""
-        if self._http is None or self._closing or self._held or self._ended:
+        if self._http is None or self._closing or self._ended:
+            return
+        if self._taking or self._held:
+            # A probe under way would keep the flow from falling quiet.
             return
         self._connection.probe(self._clock.monotonic())
         self._wakeup.set()
@@ -198,6 +202,7 @@
         if http is None or self._tasks.keys() - self.listening.keys():
             return None
         listening = dict(self.listening)
+        self._taking = True
         self._cancel_requests()
         while not (is_quiet(self._connection) and http.is_between_frames):
             if self._clock.monotonic() > limit or self._ended:
@@ -234,6 +239,7 @@
 
     def release(self) -> None:
         """Go on here after all, since nobody took the state."""
+        self._taking = False
         self._held = False
         self._wakeup.set()
 
