--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -75,3 +75,18 @@
     And at least 30 flows were moved
     And no request ran twice
     And every refusal and answer was true
+
+  Scenario: A whole VM is replaced while an entry is frozen and packets are late
+    Given a Cedarline fleet
+    And 20 event streams on badge-desk
+    When 3s pass
+    And packets are late by up to 100ms
+    And process entry-2 freezes
+    And 2s pass
+    And process badge-desk/hall-north/1 is stopped gracefully
+    And 4s pass
+    And process entry-2 wakes
+    And 2s pass
+    And the callers finish
+    Then no flow broke
+    And no event was skipped or repeated
