Repeat flow queries that an agent lost while it restarted

Ruled out: a wider REGISTRAR_TIMEOUT or periodic repetition of all queries, which send flows times agents messages over thin links after a power loss. Change: an entry records unanswered queries by agent. A message of the agent that arrives later than a round trip after the query shows that the query or its reply was lost; only these are repeated.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -48,6 +48,9 @@
     RegistrationQueue,
     registrars_of,
 )
+from ragwortpost.datapath.connection._unanswered_queries import (
+    UnansweredQueries,
+)
 from ragwortpost.datapath.connection._upstream_liveness import UpstreamLiveness
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
@@ -80,6 +83,7 @@
     'Refusal',
     'RegistrationQueue',
     'RouteKey',
+    'UnansweredQueries',
     'UpstreamLiveness',
     'agents_to_query',
     'backlog_limit',
--- a/src/ragwortpost/datapath/connection/_flow_lookups.py
+++ b/src/ragwortpost/datapath/connection/_flow_lookups.py
@@ -6,7 +6,7 @@
 when all of them have denied it, never because some did not reply.
 """
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -87,12 +87,16 @@
                 lookup.stall_reported = True
                 yield lookup
 
-    def expire(self, now: float) -> None:
-        """Remove the lookups that have timed out."""
-        for flow, lookup in list(self._lookups.items()):
+    def expire(self, now: float) -> Sequence[FlowLookup]:
+        """Remove and return the lookups that have timed out."""
+        expired = []
+        for lookup in self._lookups.values():
             if now - lookup.started_at < LOOKUP_TIMEOUT_SECONDS:
-                return
-            self._lookups.pop(flow)
+                break
+            expired.append(lookup)
+        for timed_out in expired:
+            self._lookups.pop(timed_out.packet.flow)
+        return expired
 
 
 def agents_to_query(
--- a/src/ragwortpost/datapath/connection/tests/test_pending_flows_and_lookups.py
+++ b/src/ragwortpost/datapath/connection/tests/test_pending_flows_and_lookups.py
@@ -15,6 +15,7 @@
     PendingFlows,
     QueryBatcher,
     RegistrationQueue,
+    UnansweredQueries,
     agents_to_query,
     registrars_of,
 )
@@ -199,3 +200,29 @@
             batcher.add(agent, service, FLOW)
         batches = {(one.agent, one.service) for one in batcher.pop_due(1.0)}
         assert len(batches) == 3
+
+
+class TestUnansweredQueries:
+    """Queries are lost if their agent sends a message but no reply."""
+
+    def test_a_later_message_of_the_agent_shows_the_loss(self) -> None:
+        queries = UnansweredQueries()
+        queries.add('a', FLOW, 1.0)
+        assert not list(queries.pop_lost('a', 1.05))
+        assert list(queries.pop_lost('a', 1.07)) == [FLOW]
+        assert not queries.agents
+
+    def test_a_repeated_query_has_time_for_its_reply(self) -> None:
+        queries = UnansweredQueries()
+        queries.add('a', FLOW, 1.0)
+        queries.add('a', flow_key(2), 1.0)
+        queries.add('a', FLOW, 1.05)
+        assert list(queries.pop_lost('a', 1.08)) == [flow_key(2)]
+
+    def test_answered_queries_leave_nothing(self) -> None:
+        queries = UnansweredQueries()
+        queries.add('a', FLOW, 1.0)
+        queries.remove('b', FLOW)
+        queries.remove('a', FLOW)
+        assert not queries.agents
+        assert not list(queries.pop_lost('a', 9.0))
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -12,6 +12,7 @@
     OutgoingQuery,
     Packet,
     QueryBatcher,
+    UnansweredQueries,
     agents_to_query,
 )
 from ragwortpost.datapath.process._messages import (
@@ -55,12 +56,14 @@
         """Initialize with the context, the selector and the callbacks."""
         self._clock = context.clock
         self._state = context.state
+        self._directory = context.directory
         self._log = context.log
         self._events = context.metrics.events
         self._selector = selector
         self._ports = ports
         self._lookups = FlowLookups()
         self._query_batcher = QueryBatcher()
+        self._unanswered = UnansweredQueries()
 
     def __len__(self) -> int:
         """Return the number of lookups in progress."""
@@ -69,6 +72,10 @@
     def locate(self, packet: Packet, *, denied_by: Iterable[str] = ()) -> None:
         """Look up the holder of a packet's flow; forward the packet to it."""
         self._events['searched'] += 1
+        previous = self._lookups.get(packet.flow)
+        if previous is not None:
+            # All agents that have not denied the flow are queried again.
+            self._discard_queries(previous)
         lookup = self._lookups.start(packet, self._clock.monotonic())
         lookup.denied.update(denied_by)
         self._query(lookup)
@@ -76,7 +83,7 @@
 
     def on_held(self, flow: FlowKey) -> FlowLookup | None:
         """End the lookup of a flow whose holder has replied."""
-        return self._lookups.remove(flow)
+        return self._end(flow)
 
     def on_not_held(self, flow: FlowKey, agent: str) -> None:
         """Record that an agent does not hold a flow."""
@@ -86,6 +93,7 @@
     def receive_query_reply(self, reply: FlowQueryReply, agent: str) -> None:
         """Forward packets of flows that the agent may hold; record denials."""
         for flow in reply.possibly_held:
+            self._unanswered.remove(agent, flow)
             lookup = self._lookups.get(flow)
             if lookup is not None:
                 self._ports.forward(lookup.packet, agent, ForwardPurpose.LOOKUP)
@@ -94,15 +102,40 @@
         self._send_queries()
 
     def tick(self) -> None:
-        """Widen overdue lookups to all agents and remove expired ones."""
+        """Repeat lost queries, widen overdue lookups, remove expired ones."""
         now = self._clock.monotonic()
+        self._repeat_lost_queries()
         for lookup in self._lookups.overdue(now - REGISTRAR_TIMEOUT_SECONDS):
             lookup.queries_all = True
             self._query(lookup)
         self._send_queries()
         for stalled in self._lookups.stalled(now - STALLED_SECONDS):
             self._log_stalled(stalled)
-        self._lookups.expire(now)
+        for expired in self._lookups.expire(now):
+            self._discard_queries(expired)
+
+    def _end(self, flow: FlowKey) -> FlowLookup | None:
+        lookup = self._lookups.remove(flow)
+        if lookup is not None:
+            self._discard_queries(lookup)
+        return lookup
+
+    def _discard_queries(self, lookup: FlowLookup) -> None:
+        for agent in lookup.queried - lookup.denied:
+            self._unanswered.remove(agent, lookup.packet.flow)
+
+    def _repeat_lost_queries(self) -> None:
+        """Query agents again that sent a message but not the awaited reply."""
+        for agent in self._unanswered.agents:
+            peer = self._directory.peers.get(agent)
+            if peer is None:
+                continue
+            received_at = peer.last_received_at
+            for flow in self._unanswered.pop_lost(agent, received_at):
+                lookup = self._lookups.get(flow)
+                if lookup is not None:
+                    lookup.queried.discard(agent)
+                    self._query(lookup)
 
     def _log_stalled(self, lookup: FlowLookup) -> None:
         unresponsive = sorted(lookup.queried - lookup.denied)
@@ -116,6 +149,7 @@
         )
 
     def _record_denial(self, flow: FlowKey, agent: str) -> None:
+        self._unanswered.remove(agent, flow)
         lookup = self._lookups.get(flow)
         if lookup is None:
             return
@@ -141,11 +175,13 @@
             self._selector.other_service_holders(service),
         )
         if holders and not remaining:
-            self._lookups.remove(flow)
+            self._end(flow)
             self._ports.on_not_found(lookup.packet)
         targets = [agent for agent in remaining if agent not in lookup.queried]
         lookup.queried.update(targets)
+        now = self._clock.monotonic()
         for agent in targets:
+            self._unanswered.add(agent, flow, now)
             if not lookup.queries_all:
                 self._ports.forward(
                     lookup.packet, agent, ForwardPurpose.RELAYABLE_LOOKUP
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -137,6 +137,8 @@
         self.upstreams: dict[str, FakeUpstream] = {}
         # Hosts whose messages from and to other processes are lost.
         self.unreachable: set[str] = set()
+        # Hosts whose messages to other processes are lost.
+        self.losing_replies: set[str] = set()
         self.to_callers: list[Packet] = []
         # Sender and receiver of each message, lost ones included.
         self.sent: list[tuple[str, str]] = []
@@ -250,6 +252,8 @@
             self.bytes_sent_by[sender] += len(datagram)
             if address[0] in self.unreachable or sender in self.unreachable:
                 return True
+            if sender in self.losing_replies:
+                return True
             match decode(datagram):
                 case Forward() as forward:
                     self.agents[address[0]].receive_forward(forward, sender)
