Transfer connections with packets in flight, and to a later successor

Change: packets in flight are declared lost before the export, so that the successor sends their contents again (unacknowledged bytes, ends of streams, limits and retired ids are in the state). Running requests are awaited instead of refusing the transfer. Up to three successors are asked; a lost reply ends the connection, since two agents must not continue it. Keys updated an even number of times are detected by the header protection. A response whose header fields were not sent when its connection was exported is begun by the successor.

--- a/src/ragwortpost/connection/_caller_connection.py
+++ b/src/ragwortpost/connection/_caller_connection.py
@@ -28,7 +28,7 @@
 from ragwortpost.connection._connection_transfer import (
     export_transport_state,
     import_transport_state,
-    is_quiescent,
+    is_transferable,
 )
 from ragwortpost.connection._http3 import StaticTableHttp3
 from ragwortpost.connection._incoming_request import (
@@ -130,6 +130,8 @@
         self._resumed_requests: list[IncomingRequest] = []
         # Event streams being sent to the caller, by QUIC stream id.
         self.event_streams: dict[int, OpenEventStream] = {}
+        # Streams of running requests whose response headers were sent.
+        self._responded_streams: set[int] = set()
         # Address of the entry that forwarded the last datagram.
         self.entry: HostPort = ('', 0)
 
@@ -138,11 +140,6 @@
         """The QUIC connection."""
         return self._quic
 
-    @property
-    def open_requests(self) -> int:
-        """The number of requests being served."""
-        return len(self._tasks)
-
     @property
     def closing(self) -> bool:
         """Whether :meth:`close` was called."""
@@ -167,7 +164,7 @@
         if self._http is None or self._closing or self._ended:
             return
         if self._exporting or self._exported:
-            # An unacknowledged probe would make the connection non-quiescent.
+            # The connection must not change between its export and its end.
             return
         self._quic.probe(self._clock.monotonic())
         self._wakeup.set()
@@ -206,6 +203,7 @@
             status = (b':status', str(response.status).encode())
             http.send_headers(stream_id, [status, *response.headers])
             self._wakeup.set()
+        self._responded_streams.add(stream_id)
         async with aclosing(response.chunks) as chunks:
             async for chunk in chunks:
                 await self._wait_until_writable(stream_id)
@@ -215,27 +213,38 @@
         self._wakeup.set()
 
     async def export_state(self, deadline: float) -> MovedFlow | None:
-        """Cancel the event streams, wait for quiescence and return the state.
+        """Cancel the event streams and return the connection's state.
 
-        Returns none if HTTP/3 is not set up, if another request is running, or
-        if the connection ends or is not quiescent by ``deadline``, in seconds
-        of the monotonic clock. Call :meth:`cancel_transfer` then.
+        Waits for the other requests first. Returns none if HTTP/3 is not set
+        up, or if the connection ends or is not ready to be exported by
+        ``deadline``, in seconds of the monotonic clock. Call
+        :meth:`cancel_transfer` then.
         """
         http = self._http
-        if http is None or self._tasks.keys() - self.event_streams.keys():
+        if http is None:
+            return None
+        if not await self._poll_until(
+            lambda: self._tasks.keys() <= self.event_streams.keys(), deadline
+        ):
             return None
         open_streams = dict(self.event_streams)
+        responded_streams = frozenset(self._responded_streams)
         self._exporting = True
         self._cancel_requests()
-        while not (is_quiescent(self._quic) and http.is_between_frames):
-            if self._clock.monotonic() > deadline or self._ended:
-                return None
-            await asyncio.sleep(_POLL_SECONDS)
+        if not await self._poll_until(
+            lambda: (
+                not self._tasks
+                and http.is_between_frames
+                and is_transferable(self._quic)
+            ),
+            deadline,
+        ):
+            return None
         caller_streams = http.caller_streams
         if caller_streams is None:
             return None
         self._exported = True
-        state = export_transport_state(self._quic)
+        state = export_transport_state(self._quic, self._clock.monotonic())
         state.http_streams.extend(caller_streams)
         state.events.extend(
             OpenEvents(
@@ -245,6 +254,7 @@
                     for name, text in stream.headers
                 ],
                 last_event_id=stream.progress.delivered_id,
+                headers_sent=stream_id in responded_streams,
             )
             for stream_id, stream in open_streams.items()
         )
@@ -254,9 +264,11 @@
         """Continue a connection of another agent; call before :meth:`run`."""
         now = self._clock.monotonic()
         import_transport_state(self._quic, state, now, reset_token)
-        request_ids = [events.stream_id for events in state.events]
+        responses = {
+            events.stream_id: events.headers_sent for events in state.events
+        }
         self._http = StaticTableHttp3(self._quic, restored=True)
-        self._http.restore(state.http_streams, _SERVER_STREAMS, request_ids)
+        self._http.restore(state.http_streams, _SERVER_STREAMS, responses)
         self._resumed_requests = [
             _resumed_request(events) for events in state.events
         ]
@@ -280,6 +292,16 @@
         self._wakeup.set()
         return tuple(self._inbox)
 
+    async def _poll_until(
+        self, condition: Callable[[], bool], deadline: float
+    ) -> bool:
+        """Wait for a condition; return whether it held in time."""
+        while not condition():
+            if self._clock.monotonic() > deadline or self._ended:
+                return False
+            await asyncio.sleep(_POLL_SECONDS)
+        return True
+
     async def _wait_until_writable(self, stream_id: int) -> None:
         while (
             self._quic.unacknowledged_bytes(stream_id)
@@ -370,6 +392,9 @@
         task = group.create_task(self._serve(incoming))
         self._tasks[stream_id] = task
         task.add_done_callback(lambda _: self._tasks.pop(stream_id, None))
+        task.add_done_callback(
+            lambda _: self._responded_streams.discard(stream_id)
+        )
 
     async def _serve(self, incoming: IncomingRequest) -> None:
         try:
@@ -405,4 +430,6 @@
     ]
     if events.last_event_id:
         headers.append((LAST_EVENT_ID, events.last_event_id))
-    return IncomingRequest(events.stream_id, headers, resumed=True)
+    return IncomingRequest(
+        events.stream_id, headers, resumed=events.headers_sent
+    )
--- a/src/ragwortpost/connection/_connection_transfer.py
+++ b/src/ragwortpost/connection/_connection_transfer.py
@@ -1,9 +1,9 @@
-"""Exports a quiescent QUIC connection and imports it at another agent.
+"""Exports a QUIC connection and imports it at another agent.
 
-Only a quiescent connection is transferred: everything sent is acknowledged,
-everything received was read, and the keys were never updated. Its state is
-then only the two traffic secrets, packet numbers, connection ids, offsets and
-limits.
+Packets in flight count as lost, so that the importing agent sends their
+contents again: a connection whose acknowledgements are lost can be transferred
+too. Its state is then only the two traffic secrets, packet numbers, connection
+ids, offsets, limits and the bytes that the caller has not acknowledged.
 """
 
 from collections.abc import Callable, Sequence
@@ -17,7 +17,7 @@
     QuicNetworkPath,
 )
 from aioquic.quic.crypto import CryptoContext
-from aioquic.quic.stream import QuicStream
+from aioquic.quic.stream import QuicStream, QuicStreamSender
 
 from ragwortpost.connection._quic import RoutedQuicConnection
 from ragwortpost.wire.peer_pb2 import (
@@ -32,30 +32,40 @@
 
 _SERVER_BIT = 1
 _UNIDIRECTIONAL_BIT = 2
+# Size of a header with a packet number of four bytes, and of a payload that
+# header protection can sample.
+_SAMPLE_HEADER_BYTES = 5
+_SAMPLE_PAYLOAD_BYTES = 32
 
 
-def is_quiescent(connection: RoutedQuicConnection) -> bool:
+def is_transferable(connection: RoutedQuicConnection) -> bool:
     """Return whether the connection can be exported.
 
-    The handshake is confirmed, nothing is in flight or buffered, and the key
-    phase is zero.
+    The handshake is confirmed, the keys were never updated, everything received
+    was read, and no stream is being reset.
     """
     keys = connection._cryptos.get(tls.Epoch.ONE_RTT)
     if keys is None or not connection._handshake_confirmed:
         return False
     if connection._state is not QuicConnectionState.CONNECTED:
         return False
-    if keys.recv.key_phase or keys.send.key_phase:
-        return False
-    if connection._loss.bytes_in_flight:
+    if _has_updated_keys(keys.recv) or _has_updated_keys(keys.send):
         return False
     return all(
-        _is_quiescent_stream(stream) for stream in connection._streams.values()
+        _is_transferable_stream(stream)
+        for stream in connection._streams.values()
     )
 
 
-def export_transport_state(connection: RoutedQuicConnection) -> MovedFlow:
-    """Return the transport state of a quiescent connection."""
+def export_transport_state(
+    connection: RoutedQuicConnection, now: float
+) -> MovedFlow:
+    """Return the transport state of a transferable connection.
+
+    The connection must not send or receive afterwards, unless its transfer
+    fails.
+    """
+    _declare_in_flight_lost(connection, now)
     keys = connection._cryptos[tls.Epoch.ONE_RTT]
     space = connection._spaces[tls.Epoch.ONE_RTT]
     host, port = connection._network_paths[0].addr[:2]
@@ -78,6 +88,7 @@
             _export_id(quic_id) for quic_id in connection._peer_cid_available
         ],
         caller_retire_prior_to=connection._peer_retire_prior_to,
+        retired_caller_ids=connection._retire_connection_ids,
         allowance=_export_peer_limits(connection),
         data=_export_limit(connection._local_max_data),
         streams_bidi=_export_limit(connection._local_max_streams_bidi),
@@ -113,7 +124,9 @@
     connection._loss.handshake_confirmed = True
     connection._loss.peer_completed_address_validation = True
     connection._state = QuicConnectionState.CONNECTED
-    _import_packet_numbers(connection, state)
+    # The caller may not have received the frame that confirms the handshake.
+    connection._handshake_done_pending = True
+    _import_packet_numbers(connection, state, now)
     _import_ids(connection, state, reset_token)
     _import_limits(connection, state)
     _import_streams(connection, state.streams)
@@ -124,15 +137,53 @@
     connection.retire_earlier_ids()
 
 
-def _is_quiescent_stream(stream: QuicStream) -> bool:
+def _is_transferable_stream(stream: QuicStream) -> bool:
     sender, receiver = stream.sender, stream.receiver
-    if sender._buffer or len(sender._pending) or sender.reset_pending:
-        return False
-    if sender._buffer_fin is not None and not sender.is_finished:
+    if sender.reset_pending or sender._reset_error_code is not None:
         return False
     return not receiver._buffer and not receiver.stop_pending
 
 
+def _has_updated_keys(context: CryptoContext) -> bool:
+    """Return whether the traffic secret differs from the handshake's.
+
+    A key update replaces the secret but not the key of the header protection,
+    which is derived from the first secret. The key phase is only one bit, so it
+    does not show an even number of updates.
+    """
+    suite, secret, version = (
+        context.cipher_suite,
+        context.secret,
+        context.version,
+    )
+    if context.key_phase or suite is None or secret is None or version is None:
+        return True
+    first = CryptoContext()
+    first.setup(cipher_suite=suite, secret=secret, version=version)
+    return _sample_protection(first) != _sample_protection(context)
+
+
+def _sample_protection(context: CryptoContext) -> bytes | None:
+    """Return a sample that shows the key of the header protection."""
+    if context.hp is None:
+        return None
+    header, payload = bytes(_SAMPLE_HEADER_BYTES), bytes(_SAMPLE_PAYLOAD_BYTES)
+    return context.hp.apply(header, payload)
+
+
+def _declare_in_flight_lost(
+    connection: RoutedQuicConnection, now: float
+) -> None:
+    """Queue the contents of all unacknowledged packets to be sent again."""
+    space = connection._spaces[tls.Epoch.ONE_RTT]
+    connection._loss._on_packets_lost(
+        congestion_event=False,
+        now=now,
+        packets=tuple(space.sent_packets.values()),
+        space=space,
+    )
+
+
 def _export_keys(context: CryptoContext) -> Protection:
     return Protection(
         secret=context.secret,
@@ -201,11 +252,15 @@
         granted=stream.max_stream_data_local,
         granted_sent=stream.max_stream_data_local_sent,
         allowed=stream.max_stream_data_remote,
+        unacknowledged=bytes(stream.sender._buffer),
+        highest_sent=stream.sender.highest_offset,
+        sending_ended=stream.sender._buffer_fin is not None,
+        sending_finished=stream.sender.is_finished,
     )
 
 
 def _import_packet_numbers(
-    connection: RoutedQuicConnection, state: MovedFlow
+    connection: RoutedQuicConnection, state: MovedFlow, now: float
 ) -> None:
     connection._packet_number = state.next_packet_number
     space = connection._spaces[tls.Epoch.ONE_RTT]
@@ -214,6 +269,7 @@
     for span in state.received:
         space.ack_queue.add(span.start, span.stop)
         space.largest_received_packet = span.stop - 1
+        space.largest_received_time = now
     # Discard packets with lower numbers: they are duplicates or count as lost.
     space.received_packets._lower = state.expected_packet_number
 
@@ -243,6 +299,7 @@
         for quic_id in (state.caller_id, *state.spare_caller_ids)
     }
     connection._peer_retire_prior_to = state.caller_retire_prior_to
+    connection._retire_connection_ids = list(state.retired_caller_ids)
 
 
 def _import_limits(connection: RoutedQuicConnection, state: MovedFlow) -> None:
@@ -283,9 +340,7 @@
             writable=not (is_uni and not is_own),
         )
         stream.max_stream_data_local_sent = state.granted_sent
-        stream.sender._buffer_start = state.sent_offset
-        stream.sender._buffer_stop = state.sent_offset
-        stream.sender.highest_offset = state.sent_offset
+        _import_sender(stream.sender, state)
         stream.receiver._buffer_start = state.received_offset
         stream.receiver.highest_offset = state.received_offset
         if state.receiving_ended:
@@ -293,3 +348,19 @@
             stream.receiver.is_finished = True
         connection._streams[state.stream_id] = stream
         connection._streams_queue.append(stream)
+
+
+def _import_sender(sender: QuicStreamSender, state: StreamState) -> None:
+    start = state.sent_offset - len(state.unacknowledged)
+    sender._buffer = bytearray(state.unacknowledged)
+    sender._buffer_start = start
+    sender._buffer_stop = state.sent_offset
+    sender.highest_offset = state.highest_sent
+    if state.unacknowledged:
+        sender._pending.add(start, state.sent_offset)
+        sender.buffer_is_empty = False
+    if state.sending_ended:
+        sender._buffer_fin = state.sent_offset
+        sender.is_finished = state.sending_finished
+        sender._pending_eof = not state.sending_finished
+        sender.buffer_is_empty = state.sending_finished
--- a/src/ragwortpost/connection/_http3.py
+++ b/src/ragwortpost/connection/_http3.py
@@ -4,7 +4,7 @@
 table capacity of zero restricts both directions to the static table.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from aioquic.h3.connection import (
     H3Connection,
@@ -70,12 +70,12 @@
         self,
         caller_streams: Sequence[int],
         server_streams: Sequence[int],
-        request_stream_ids: Sequence[int],
+        responses: Mapping[int, bool],
     ) -> None:
         """Set the streams of a connection that another agent opened.
 
-        All requests were received; the header fields of their responses count
-        as sent.
+        ``responses`` has the stream ids of the open requests, all of which were
+        received, and whether the header fields of the response were sent.
         """
         kinds = (
             StreamType.CONTROL,
@@ -95,10 +95,11 @@
         self._local_decoder_stream_id = decoder
         self._settings_received = True
         self._received_settings = {}
-        for request_id in request_stream_ids:
+        for request_id, headers_sent in responses.items():
             stream = H3Stream(request_id)
             stream.headers_recv_state = HeadersState.AFTER_HEADERS
-            stream.headers_send_state = HeadersState.AFTER_HEADERS
+            if headers_sent:
+                stream.headers_send_state = HeadersState.AFTER_HEADERS
             stream.receiving_ended = True
             self._stream[request_id] = stream
 
--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -24,7 +24,10 @@
     ReplyHeader,
 )
 from ragwortpost.process._connection_table import ConnectionTable
-from ragwortpost.process._connection_transfers import ConnectionTransfers
+from ragwortpost.process._connection_transfers import (
+    AdoptOutcome,
+    ConnectionTransfers,
+)
 from ragwortpost.process._datagram_dispatcher import (
     DatagramDispatcher,
     DatagramDispatcherPorts,
@@ -73,8 +76,8 @@
 class AgentPeerPort(PeerPort, Protocol):
     """Sends requests and connection state to other agents."""
 
-    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
-        """Send a connection's state to a peer; return whether it accepted."""
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> AdoptOutcome:
+        """Send a connection's state to a peer, which may continue it."""
 
 
 @dataclass(frozen=True)
--- a/src/ragwortpost/process/_connection_transfers.py
+++ b/src/ragwortpost/process/_connection_transfers.py
@@ -1,8 +1,9 @@
 """Transfers the connections of a stopping agent to other agents."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 from absl import logging
@@ -10,16 +11,32 @@
 from ragwortpost._clock import Clock
 from ragwortpost.connection import CallerConnection
 from ragwortpost.process._connection_table import ConnectionTable
-from ragwortpost.version import Fleet, ShortId, Upstream, first_upstream
+from ragwortpost.version import Fleet, ShortId, Upstream, ranked_upstreams
 from ragwortpost.wire.peer_pb2 import MovedFlow
 
-# Longest wait for a connection to become quiescent.
+# Longest wait for a connection's running requests and incomplete frames.
 QUIESCE_SECONDS: Final = 2.0
 # How long late datagrams are relayed after the transfers.
 LINGER_SECONDS: Final = 2.0
 MAX_CONCURRENT: Final = 32
 
-SendState = Callable[[Upstream, MovedFlow], Awaitable[bool]]
+# Agents that are asked to continue a connection, at most: the first ones may be
+# stopping too.
+MAX_SUCCESSORS_TRIED: Final = 3
+
+
+class AdoptOutcome(Enum):
+    """What became of a connection's state that was sent to an agent."""
+
+    # The agent continues the connection.
+    ACCEPTED = 'accepted'
+    # The agent does not continue it, or was never sent the state.
+    REFUSED = 'refused'
+    # The reply was lost: the agent may continue it.
+    UNKNOWN = 'unknown'
+
+
+SendState = Callable[[Upstream, MovedFlow], Awaitable[AdoptOutcome]]
 
 
 @dataclass
@@ -37,7 +54,8 @@
 
     Once the upstream is removed from the settings, entries forward datagrams
     whose connection id encodes it to the first upstream in the rendezvous order
-    of the removed one's id. The same upstream is therefore the successor here.
+    of the removed one's id. The same upstream is therefore asked first here.
+    Later ones continue a connection under its new ids only.
     """
 
     def __init__(
@@ -99,13 +117,8 @@
         relay: Callable[[CallerConnection, Upstream], None],
     ) -> None:
         async with self._limit:
-            others = self._fleet.other_accepting_upstreams(
-                self._service, self._ident
-            )
-            successor = first_upstream(self._ident, others)
-            if successor is None or not await self._transfer_to(
-                connection, successor
-            ):
+            successor = await self._find_successor(connection)
+            if successor is None:
                 self._counters.closed += 1
                 connection.cancel_transfer()
                 connection.close('leaving')
@@ -115,13 +128,27 @@
             relay(connection, successor)
             self._counters.moved += 1
 
-    async def _transfer_to(
-        self, connection: CallerConnection, successor: Upstream
-    ) -> bool:
+    async def _find_successor(
+        self, connection: CallerConnection
+    ) -> Upstream | None:
+        """Return the upstream whose agent continues a connection, if any."""
         state = await connection.export_state(
             self._clock.monotonic() + QUIESCE_SECONDS
         )
         if state is None:
-            return False
+            return None
         state.service = self._service
-        return await self._send_state(successor, state)
+        for successor in self._candidates():
+            match await self._send_state(successor, state):
+                case AdoptOutcome.ACCEPTED:
+                    return successor
+                case AdoptOutcome.UNKNOWN:
+                    # A second agent must not continue the connection as well.
+                    return None
+        return None
+
+    def _candidates(self) -> Sequence[Upstream]:
+        others = self._fleet.other_accepting_upstreams(
+            self._service, self._ident
+        )
+        return ranked_upstreams(self._ident, others, MAX_SUCCESSORS_TRIED)
--- a/src/ragwortpost/process/_peer_rpc.py
+++ b/src/ragwortpost/process/_peer_rpc.py
@@ -18,6 +18,7 @@
 from grpclib.server import Stream
 
 from ragwortpost._clock import Clock
+from ragwortpost.process._connection_transfers import AdoptOutcome
 from ragwortpost.process._peer_channels import PeerChannels
 from ragwortpost.process._version_gossip import VersionGossip
 from ragwortpost.request import (
@@ -48,8 +49,11 @@
 )
 from ragwortpost.wire.peer_pb2 import Unknown as UnknownMessage
 
-# Timeout of connecting to a peer, and of a whole call of ``Adopt``.
+# Timeout of connecting to a peer.
 CONNECT_SECONDS: Final = 0.5
+# Timeout of a call of ``Adopt``. A reply that arrives later ends the
+# connection, and callers wait far longer for data.
+ADOPT_SECONDS: Final = 2.0
 _MS_PER_SECOND: Final = 1000
 _CONNECTION_ERRORS: Final = (
     GRPCError,
@@ -58,8 +62,6 @@
     EOFError,
 )
 
-Serving = Callable[[Request], Any]
-
 
 class PeerClient:
     """Calls the gRPC services of other agents."""
@@ -92,15 +94,29 @@
             case outcome:
                 return outcome
 
-    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
-        """Send a connection's state to a peer; return whether it accepted."""
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> AdoptOutcome:
+        """Send a connection's state to a peer, which may continue it."""
+        if not await self._connect(peer):
+            return AdoptOutcome.REFUSED
         stub = PeerStub(self._channels.channel(peer.address))
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(ADOPT_SECONDS):
                 reply = await stub.Adopt(state)
         except _CONNECTION_ERRORS:
+            return AdoptOutcome.UNKNOWN
+        if reply.accepted:
+            return AdoptOutcome.ACCEPTED
+        return AdoptOutcome.REFUSED
+
+    async def _connect(self, peer: Upstream) -> bool:
+        """Return whether a connection to a peer is open or can be opened."""
+        channel = self._channels.channel(peer.address)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await channel.__connect__()
+        except (OSError, TimeoutError):
             return False
-        return bool(reply.accepted)
+        return True
 
     async def _call(
         self,
@@ -109,11 +125,7 @@
         *,
         to_owner: bool,
     ) -> RequestOutcome:
-        channel = self._channels.channel(peer.address)
-        try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await channel.__connect__()
-        except (OSError, TimeoutError):
+        if not await self._connect(peer):
             return Refused(RefusalReason.PEER_UNREACHABLE)
         stack = AsyncExitStack()
         try:
--- a/standin/demo.py
+++ b/standin/demo.py
@@ -13,7 +13,13 @@
 from pathlib import Path
 
 from ragwortpost.version import short_id
-from standin.deployment import Deployment, DeploymentPlan, cedarline, sanad
+from standin.deployment import (
+    Deployment,
+    DeploymentPlan,
+    UpstreamPlan,
+    cedarline,
+    sanad,
+)
 from standin.workload import Tally, Workload
 
 EVENT_READERS = 24
@@ -45,7 +51,7 @@
         self.saved_counters: list[dict[str, object]] = []
         self.apply_seconds: list[float] = []
 
-    async def run(self) -> dict[str, float]:
+    async def run(self) -> dict[str, float | str]:
         """Run the scenario and return its metrics."""
         async with AsyncExitStack() as stack:
             self.print_progress('starting processes')
@@ -101,17 +107,7 @@
         )
         await deployment.start_upstream(restarted_upstream)
         await asyncio.sleep(1)
-        replaced_upstream = deployment.upstreams[4]
-        self.print_progress(
-            f'the agent of {replaced_upstream.name} stops and is replaced'
-        )
-        deployment.leaving.add(replaced_upstream.name)
-        await deployment.publish_vms()
-        deployment.send_signal(replaced_upstream.name, signal.SIGTERM)
-        await deployment.processes[replaced_upstream.name].wait()
-        await deployment.start_agent(replaced_upstream)
-        deployment.leaving.clear()
-        await deployment.publish_vms()
+        await self.replace_agent(deployment.upstreams[4])
         await asyncio.sleep(1)
         self.print_progress('entry-2 is killed')
         deployment.send_signal('entry-2', signal.SIGKILL)
@@ -136,6 +132,21 @@
         deployment.settings.upstream_states.clear()
         await self.publish_change()
         await asyncio.sleep(2)
+        for upstream in deployment.upstreams[3:5]:
+            await self.replace_agent(upstream)
+        await asyncio.sleep(3)
+
+    async def replace_agent(self, upstream: UpstreamPlan) -> None:
+        """Stop the agent of an upstream and start its successor."""
+        deployment = self.deployment
+        self.print_progress(f'the agent of {upstream.name} is replaced')
+        deployment.leaving.add(upstream.name)
+        await deployment.publish_vms()
+        deployment.send_signal(upstream.name, signal.SIGTERM)
+        await deployment.processes[upstream.name].wait()
+        await deployment.start_agent(upstream)
+        deployment.leaving.clear()
+        await deployment.publish_vms()
 
     async def publish_change(self) -> None:
         """Publish the settings and record the time until they are applied."""
@@ -158,7 +169,7 @@
                 await self.deployment.fetch_counters(upstream)
             )
 
-    def metrics(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float | str]:
         """Return the metrics of the run, keyed as in the report."""
         tally = self.workload.tally
         runs_by_operation = self.runs_by_operation()
@@ -188,6 +199,7 @@
             ),
             'mixed_answers': tally.mixed_answers,
             'broken_flows': tally.broken_flows,
+            'broken_reasons': ', '.join(tally.broken_reasons),
             'given_up': tally.given_up,
             'event_gaps': tally.event_gaps,
             'over_limit': self.total('over_limit'),
--- a/standin/workload.py
+++ b/standin/workload.py
@@ -50,6 +50,8 @@
     operations: dict[str, str] = field(default_factory=dict)
     # Short ids of upstreams in data centres that were drained.
     drained_upstreams: set[bytes] = field(default_factory=set)
+    # Why each connection counted in ``broken_flows`` was lost.
+    broken_reasons: list[str] = field(default_factory=list)
     # Latencies of successful requests in microseconds.
     latencies: HdrHistogram = field(
         default_factory=lambda: HdrHistogram(
@@ -63,6 +65,7 @@
             self.given_up += 1
         else:
             self.broken_flows += 1
+            self.broken_reasons.append(str(caller.protocol.closed_reason))
 
 
 class Workload:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -386,6 +386,11 @@
     assert world.fleet.callers.tally.event_gaps == 0
 
 
+@then(step(r'no event was skipped or repeated'))
+def check_events_in_sequence(world: World) -> None:
+    assert world.fleet.callers.tally.event_gaps == 0
+
+
 @then(step(r'at least (?P<count>\d+) flows were given up'))
 def check_flows_given_up(world: World, count: str) -> None:
     assert world.fleet.callers.tally.given_up >= int(count)
--- a/tests/harness/peers.py
+++ b/tests/harness/peers.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from ragwortpost.process import VersionGossip
+from ragwortpost.process._connection_transfers import AdoptOutcome
 from ragwortpost.process._peer_rpc import PeerServicePorts
 from ragwortpost.request import (
     Answered,
@@ -143,15 +144,16 @@
             case outcome:
                 return outcome
 
-    async def adopt(self, peer: Upstream, state: MovedFlow) -> bool:
-        """Send a connection's state to a peer; return whether it accepted."""
+    async def adopt(self, peer: Upstream, state: MovedFlow) -> AdoptOutcome:
+        """Send a connection's state to a peer, which may continue it."""
         await asyncio.sleep(2 * self._peers.network.delay)
         target = self._peers.find_reachable(self._host, peer.address)
         if target is None or target.peer_service_ports is None:
-            return False
-        return target.peer_service_ports.adopt(
+            return AdoptOutcome.REFUSED
+        accepted = target.peer_service_ports.adopt(
             MovedFlow.FromString(state.SerializeToString())
         )
+        return AdoptOutcome.ACCEPTED if accepted else AdoptOutcome.REFUSED
 
     async def _call(self, peer: Upstream, request: Request) -> RequestOutcome:
         target = self._peers.find_reachable(self._host, peer.address)
