Deny flows that a starting upstream resets; place and refuse by pace

An agent that has just started does not know whether its upstream holds a flow, so it delivers a packet of a looked-up flow to it. Ruled out: resets by entries and by flow_lost (no such line), upstreams that give up after eight retransmissions (their callers are gone). Change: a reset that answers an unconfirmed packet of a flow that is not held is a denial.

A burst beside a slow upstream: callers were held for 0.6 of their timeout, retried and were held again until their deadline, while flows went to the slow upstream, which held few requests since others avoided nothing. Change: agents measure the pace of their upstream and report it; entries count a slow one's load as the requests that others finish meanwhile; its backlog is bounded by the route's target. A flow without room is refused as soon as its turn would come too late, and in a lasting congestion after a fifth of its target. Flows of more urgent routes (priority of the configuration) are placed first and have a reserve at each upstream.

Digests, replies and changes have new layouts: processes of earlier builds do not understand them.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -48,9 +48,13 @@
     RegistrationQueue,
     registrars_of,
 )
+from ragwortpost.datapath.connection._service_pace import ServicePace
 from ragwortpost.datapath.connection._unanswered_queries import (
     UnansweredQueries,
 )
+from ragwortpost.datapath.connection._unconfirmed_packets import (
+    UnconfirmedPackets,
+)
 from ragwortpost.datapath.connection._upstream_liveness import UpstreamLiveness
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
@@ -58,6 +62,14 @@
     load_score,
     select_local_first,
     select_upstream,
+    slowdown,
+)
+from ragwortpost.datapath.connection._waiting_policy import (
+    AdmissionRate,
+    Congestion,
+    WaitLimits,
+    max_wait,
+    should_refuse,
 )
 
 __all__ = [
@@ -65,8 +77,10 @@
     'FLOW_KEY_BYTES',
     'SEQUENCE_MODULUS',
     'Admission',
+    'AdmissionRate',
     'AdmissionInputs',
     'Candidate',
+    'Congestion',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
@@ -83,16 +97,22 @@
     'Refusal',
     'RegistrationQueue',
     'RouteKey',
+    'ServicePace',
     'UnansweredQueries',
+    'UnconfirmedPackets',
     'UpstreamLiveness',
+    'WaitLimits',
     'agents_to_query',
     'backlog_limit',
     'caller_address',
     'format_flow',
     'load_score',
+    'max_wait',
     'parse_flow',
     'registrars_of',
     'route_key_of',
     'select_local_first',
     'select_upstream',
+    'should_refuse',
+    'slowdown',
 ]
--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -19,6 +19,7 @@
     FlowKey,
     Packet,
 )
+from ragwortpost.datapath.connection._service_pace import ServicePace
 
 # A caller's packet completes this upstream's handshake if it acknowledges more
 # than zero and fewer than this number of bytes after the handshake's sequence
@@ -51,6 +52,8 @@
     handshake_sequence: int | None
     # Whether a request was sent and its response has not started.
     awaits_response: bool = False
+    # Monotonic seconds of the last packet of that request.
+    requested_at: float = 0
     # Whether either side has reset the flow or the upstream has finished it.
     closing: bool = False
 
@@ -79,11 +82,16 @@
         self._returned_at: dict[FlowKey, float] = {}
         self._expected_requests = ExpectedRequests()
         self._awaiting_response = 0
+        self._pace = ServicePace()
 
     def load(self, now: float) -> int:
         """Return the number of requests in progress and of expected ones."""
         return self._awaiting_response + self._expected_requests.count(now)
 
+    def pace(self, now: float) -> float:
+        """Return the seconds that the upstream takes for each request."""
+        return self._pace.seconds(now)
+
     def __len__(self) -> int:
         """Return the number of held flows."""
         return len(self._flows)
@@ -133,11 +141,12 @@
                 self._expected_requests.add(packet.flow, now)
             return True
         held.last_packet_at = now
-        if packet.length:
-            self._set_awaiting_response(held, awaiting=False)
+        if packet.length and held.awaits_response:
+            self._pace.on_response(held.requested_at, now)
+            self._end_request(held)
         if packet.finishes or packet.resets:
             held.closing = True
-            self._set_awaiting_response(held, awaiting=False)
+            self._abandon_request(held, now)
         return False
 
     def on_returned_packet(self, packet: Packet, now: float) -> HeldFlow | None:
@@ -146,7 +155,7 @@
         held = self._flows.pop(packet.flow, None)
         self._expected_requests.remove(packet.flow)
         if held is not None:
-            self._set_awaiting_response(held, awaiting=False)
+            self._abandon_request(held, now)
         return held
 
     def expire(self, now: float) -> None:
@@ -157,7 +166,7 @@
         """
         for flow, held in list(self._flows.items())[:_MAX_FLOWS_PER_SWEEP]:
             if now - held.last_packet_at > self._idle_seconds:
-                self._set_awaiting_response(held, awaiting=False)
+                self._abandon_request(held, now)
                 self._flows.pop(flow)
                 continue
             # Reinsert at the end, so that the next sweep checks other flows.
@@ -175,13 +184,21 @@
     ) -> None:
         held.last_packet_at = now
         if packet.length and not held.closing:
-            self._set_awaiting_response(held, awaiting=True)
+            self._pace.on_request(now, continues=held.awaits_response)
+            held.requested_at = now
+            if not held.awaits_response:
+                held.awaits_response = True
+                self._awaiting_response += 1
         if packet.resets:
             held.closing = True
             self._expected_requests.remove(packet.flow)
-            self._set_awaiting_response(held, awaiting=False)
+            self._abandon_request(held, now)
+
+    def _abandon_request(self, held: HeldFlow, now: float) -> None:
+        if held.awaits_response:
+            self._pace.on_abandoned(now)
+            self._end_request(held)
 
-    def _set_awaiting_response(self, held: HeldFlow, *, awaiting: bool) -> None:
-        if held.awaits_response is not awaiting:
-            held.awaits_response = awaiting
-            self._awaiting_response += 1 if awaiting else -1
+    def _end_request(self, held: HeldFlow) -> None:
+        held.awaits_response = False
+        self._awaiting_response -= 1
--- a/src/ragwortpost/datapath/connection/_upstream_selection.py
+++ b/src/ragwortpost/datapath/connection/_upstream_selection.py
@@ -6,6 +6,7 @@
 queue; flows that find all queues full wait at the entry.
 """
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
@@ -23,6 +24,15 @@
 # last one waits for as long as about four requests take, the most that a
 # latency objective allows.
 BACKLOG_PER_SLOT: Final = 4
+# Requests for each slot that flows of more urgent routes may add to a backlog
+# that those of other routes have filled.
+URGENT_RESERVE_PER_SLOT: Final = 2
+# Share of a route's target in which the requests in progress or queued at a
+# slow upstream should finish.
+BACKLOG_TARGET_SHARE: Final = 0.8
+# An upstream is slow if it takes this many times as long for a request as the
+# median upstream. Smaller differences are within the spread of requests.
+SLOW_FACTOR: Final = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,16 +52,54 @@
     warming_up: bool
     # Whether the entry received no message from its agent recently.
     agent_unresponsive: bool
+    # How many times as long it takes for a request as the median upstream, at
+    # least one.
+    slowdown: float = 1
+    # Load at which it gets no more flows of this route; none for that of its
+    # slots.
+    limit: int | None = None
+
+
+def backlog_limit(
+    slots: int,
+    pace: float = 0,
+    target: float = math.inf,
+    *,
+    urgent: bool = False,
+) -> int:
+    """Return how many requests an upstream may have, queued ones included.
+
+    ``pace`` is the time in seconds that it takes for each of them, zero if
+    unknown. One that can't finish so many within the target gets fewer. Flows
+    whose route is more urgent than others of their service have a reserve.
+    """
+    slots = max(1, slots)
+    limit = BACKLOG_PER_SLOT * slots
+    if urgent:
+        limit += URGENT_RESERVE_PER_SLOT * slots
+    if pace <= 0 or target * BACKLOG_TARGET_SHARE >= limit * pace:
+        return limit
+    return max(slots, int(target * BACKLOG_TARGET_SHARE / pace))
+
 
+def slowdown(pace: float, median_pace: float) -> float:
+    """Return how many times as slow as the median an upstream is.
 
-def backlog_limit(slots: int) -> int:
-    """Return how many requests an upstream may have, queued ones included."""
-    return BACKLOG_PER_SLOT * max(1, slots)
+    Returns one unless it is clearly slower.
+    """
+    if median_pace <= 0 or pace < SLOW_FACTOR * median_pace:
+        return 1
+    return pace / median_pace
 
 
 def load_score(candidate: Candidate) -> float:
-    """Return the load per slot, with the penalties; lower is better."""
-    score = candidate.load / max(1, candidate.slots)
+    """Return the load per slot, with the penalties; lower is better.
+
+    The load of a slow upstream counts for as many requests as others finish
+    meanwhile, and so does the new request itself.
+    """
+    load = candidate.load / max(1, candidate.slots)
+    score = (load + 1) * candidate.slowdown - 1
     if not candidate.is_local:
         score += REMOTE_PENALTY
     if candidate.warming_up:
@@ -74,8 +122,7 @@
     eligible = [
         candidate
         for candidate in candidates
-        if candidate.load < backlog_limit(candidate.slots)
-        and candidate.agent not in tried
+        if _has_room(candidate) and candidate.agent not in tried
     ]
     if not eligible:
         return None
@@ -100,3 +147,9 @@
     if selected is not None and load_score(selected) < REMOTE_PENALTY:
         return selected
     return select_upstream([*local, *remote()], tried, rng)
+
+
+def _has_room(candidate: Candidate) -> bool:
+    if candidate.limit is None:
+        return candidate.load < backlog_limit(candidate.slots)
+    return candidate.load < candidate.limit
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -4,9 +4,9 @@
 that the upstream holds.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from typing import Final
 
@@ -22,10 +22,12 @@
     PacketFormat,
     Refusal,
     RegistrationQueue,
+    UnconfirmedPackets,
     UpstreamLiveness,
     backlog_limit,
     caller_address,
     registrars_of,
+    route_key_of,
 )
 from ragwortpost.datapath.process._codec import batch_flows, encode
 from ragwortpost.datapath.process._messages import (
@@ -57,18 +59,6 @@
 # other agent.
 MIN_RESTART_GAP: Final = timedelta(seconds=0.3)
 _MS: Final = 1000
-# An unconfirmed delivery without a response is removed after this time.
-UNCONFIRMED_SECONDS: Final = 3.0
-
-
-@dataclass(frozen=True, slots=True)
-class _UnconfirmedPacket:
-    """A delivered packet to which the upstream has not responded yet."""
-
-    # Addresses of the entries that wait for the outcome.
-    entries: tuple[str, ...]
-    # Monotonic time of the delivery, in seconds.
-    delivered_at: float
 
 
 class Agent:
@@ -94,7 +84,7 @@
         )
         self._admission = Admission()
         self._upstream_liveness = UpstreamLiveness()
-        self._unconfirmed: dict[FlowKey, _UnconfirmedPacket] = {}
+        self._unconfirmed = UnconfirmedPackets()
         self._registration_queue = RegistrationQueue()
         now = context.clock.monotonic()
         self._registered = FlowCache(now, REGISTRATION_SECONDS)
@@ -110,6 +100,11 @@
         """Requests that await a response, and first requests expected soon."""
         return self._held_flows.load(self._clock.monotonic())
 
+    @property
+    def pace_ms(self) -> int:
+        """Milliseconds that the upstream takes for each request."""
+        return int(self._held_flows.pace(self._clock.monotonic()) * _MS)
+
     def explain_flow(self, flow: FlowKey) -> Mapping[str, object]:
         """Return the state of a flow, as fields of the /flow endpoint."""
         held = self._held_flows.get(flow)
@@ -117,12 +112,11 @@
 
     def gauges(self) -> Mapping[str, float]:
         """Return the agent's current gauge readings."""
-        return {'flows_held': self.held, 'load': self.load}
-
-    @property
-    def held(self) -> int:
-        """Number of flows that the upstream holds."""
-        return len(self._held_flows)
+        return {
+            'flows_held': len(self._held_flows),
+            'load': self.load,
+            'pace_seconds': self.pace_ms / _MS,
+        }
 
     def open(
         self,
@@ -183,7 +177,9 @@
                 case _:
                     possibly_held.append(flow)
         self._events['not_held'] += len(denied)
-        reply = FlowQueryReply(self.load, tuple(denied), tuple(possibly_held))
+        reply = FlowQueryReply(
+            self.load, tuple(denied), tuple(possibly_held), self.pace_ms
+        )
         if self._send_to_peer is not None:
             address = (entry, self._settings.peer_port)
             self._send_to_peer(encode(reply), address)
@@ -211,22 +207,13 @@
             self._held_flows.expire(now)
         self._registered.expire(now)
         self._register_flows(now)
-        self._expire_unconfirmed(now)
-
-    def _expire_unconfirmed(self, now: float) -> None:
-        """Remove old deliveries; deny all of them if the upstream is gone."""
         if self._is_upstream_gone():
             self._deny_unconfirmed()
-        for flow, unconfirmed in list(self._unconfirmed.items()):
-            if now - unconfirmed.delivered_at < UNCONFIRMED_SECONDS:
-                break
-            self._unconfirmed.pop(flow)
+        self._unconfirmed.expire(now)
 
     def _deny_unconfirmed(self) -> None:
-        denied = dict(self._unconfirmed)
-        self._unconfirmed.clear()
-        for flow, unconfirmed in denied.items():
-            for entry in unconfirmed.entries:
+        for flow, entries in self._unconfirmed.pop_all().items():
+            for entry in entries:
                 self._reply(ForwardOutcome.NOT_HELD, flow, entry)
 
     def _may_hold(self, service: ServiceTag) -> bool:
@@ -308,7 +295,7 @@
             self._deliver_unconfirmed(packet, entry)
             return
         if forward.service == self._service_tag:
-            inputs = self._admission_inputs()
+            inputs = self._admission_inputs(packet.flow)
             refusal = self._admission.decide(
                 inputs,
                 len(self._held_flows),
@@ -322,8 +309,10 @@
         else:
             self._refuse(refusal, packet, entry)
 
-    def _admission_inputs(self) -> AdmissionInputs:
+    def _admission_inputs(self, flow: FlowKey) -> AdmissionInputs:
         fleet = self._state.fleet
+        route = fleet.routes.get(route_key_of(flow))
+        pace = self._held_flows.pace(self._clock.monotonic())
         upstream = fleet.upstreams_by_host.get(self._settings.host)
         policy = fleet.services.get(self._upstream_side.service)
         limit = policy.connection_limit if policy else DEFAULT_CONNECTION_LIMIT
@@ -345,42 +334,54 @@
             ),
             warm_up_rate=warm_up_rate,
             connection_limit=limit,
-            backlog_limit=backlog_limit(upstream.slots if upstream else 1),
+            backlog_limit=backlog_limit(
+                upstream.slots if upstream else 1,
+                pace,
+                route.target if route else math.inf,
+                urgent=fleet.is_urgent(flow),
+            ),
         )
 
     def _deliver_unconfirmed(self, packet: Packet, entry: str) -> None:
         """Deliver a packet and record the entry that waits for the outcome."""
-        previous = self._unconfirmed.pop(packet.flow, None)
-        entries = previous.entries if previous else ()
-        if entry not in entries:
-            entries = (*entries, entry)
         now = self._clock.monotonic()
-        self._unconfirmed[packet.flow] = _UnconfirmedPacket(entries, now)
+        self._unconfirmed.add(packet.flow, entry, now)
         self._upstream_liveness.record_delivery(now, opens=packet.opens)
         self._deliver(packet)
 
     def _handle_response(self, packet: Packet) -> None:
         now = self._clock.monotonic()
+        if packet.resets and self._is_denial(packet.flow):
+            self._held_flows.on_returned_packet(packet, now)
+            for waiting_entry in self._unconfirmed.pop(packet.flow):
+                self._deny(ForwardPurpose.LOOKUP, packet, waiting_entry)
+            return
         if self._held_flows.on_upstream_packet(packet, now):
             self._registration_queue.add(packet.flow, now)
         if self._send_outbound is not None:
             caller = (caller_address(packet.flow), self._settings.packet_port)
             self._send_outbound(packet.raw, caller)
-        unconfirmed = self._unconfirmed.pop(packet.flow, None)
-        if unconfirmed is None:
-            return
         outcome = (
             ForwardOutcome.OPENED if packet.accepts else ForwardOutcome.HELD
         )
-        for entry in unconfirmed.entries:
+        for entry in self._unconfirmed.pop(packet.flow):
             self._reply(outcome, packet.flow, entry)
 
+    def _is_denial(self, flow: FlowKey) -> bool:
+        """Return whether a reset of a flow shows that it is not held.
+
+        An upstream that has just started may reset the flow of a packet that
+        was delivered to find out whether it holds the flow, instead of
+        returning the packet. The caller must not get that reset: another
+        upstream may hold the flow.
+        """
+        return flow in self._unconfirmed and not self._held_flows.get(flow)
+
     def _handle_returned(self, packet: Packet) -> None:
         now = self._clock.monotonic()
         self._events['returned'] += 1
-        unconfirmed = self._unconfirmed.pop(packet.flow, None)
         held = self._held_flows.on_returned_packet(packet, now)
-        entries = unconfirmed.entries if unconfirmed else ()
+        entries = self._unconfirmed.pop(packet.flow)
         if packet.opens:
             for entry in entries:
                 self._refuse(Refusal.FULL, packet, entry)
@@ -388,7 +389,9 @@
         for entry in entries:
             self._deny(ForwardPurpose.LOOKUP, packet, entry)
         if held is not None and held.is_established and packet.length:
-            self._log.write_flow('flow_lost', packet.flow, held=self.held)
+            self._log.write_flow(
+                'flow_lost', packet.flow, held=len(self._held_flows)
+            )
             self._reset(packet)
 
     def _deny(
@@ -403,7 +406,7 @@
             'refused',
             packet.flow,
             reason=refusal.value,
-            held=self.held,
+            held=len(self._held_flows),
             revision=self._state.revision,
         )
         self._reply(ForwardOutcome.REFUSED, packet.flow, entry)
@@ -418,7 +421,7 @@
         if self._send_to_peer is None:
             return
         load, revision = self.load, self._state.revision
-        reply = ForwardReply(outcome, load, revision, flow, raw)
+        reply = ForwardReply(outcome, load, revision, flow, raw, self.pace_ms)
         self._send_to_peer(encode(reply), (entry, self._settings.peer_port))
 
     def _deliver(self, packet: Packet) -> None:
--- a/src/ragwortpost/datapath/process/_codec.py
+++ b/src/ragwortpost/datapath/process/_codec.py
@@ -35,20 +35,24 @@
     encode_changes,
 )
 
+# Numbers 2, 3, 4 and 7 had layouts without the pace of upstreams and the
+# priority of routes.
 _FORWARD: Final = 1
-_FORWARD_REPLY: Final = 2
-_DIGEST: Final = 3
-_CHANGES: Final = 4
 _REGISTRATION: Final = 5
 _FLOW_QUERY: Final = 6
-_FLOW_QUERY_REPLY: Final = 7
+_FORWARD_REPLY: Final = 8
+_DIGEST: Final = 9
+_FLOW_QUERY_REPLY: Final = 10
+_CHANGES: Final = 11
+# Longer paces are sent as this one.
+_MAX_PACE_MS: Final = 0xFFFF
 # Maximum flows in one message; with the header they nearly fill a datagram.
 FLOWS_PER_DATAGRAM: Final = 100
 _REPLY_TO_SENDER: Final = '0.0.0.0'  # noqa: S104
 _FORWARD_HEADER: Final = struct.Struct('!BBQ4s')
-_FORWARD_REPLY_HEADER: Final = struct.Struct(f'!BBHQ{FLOW_KEY_BYTES}s')
+_FORWARD_REPLY_HEADER: Final = struct.Struct(f'!BBHHQ{FLOW_KEY_BYTES}s')
 _FLOW_QUERY_HEADER: Final = struct.Struct('!BQ')
-_FLOW_QUERY_REPLY_HEADER: Final = struct.Struct('!BHB')
+_FLOW_QUERY_REPLY_HEADER: Final = struct.Struct('!BHHB')
 
 # The fields of a digest in order.
 _DIGEST_DECODER: Final = Decoder(
@@ -63,6 +67,7 @@
         bool,
         Natural,
         tuple[Host, ...],
+        Natural,
     ]
 )
 
@@ -88,14 +93,22 @@
             return _FLOW_QUERY_HEADER.pack(_FLOW_QUERY, service) + b''.join(
                 flows
             )
-        case FlowQueryReply(load, denied, possibly_held):
+        case FlowQueryReply(load, denied, possibly_held, pace_ms):
             header = _FLOW_QUERY_REPLY_HEADER.pack(
-                _FLOW_QUERY_REPLY, load, len(denied)
+                _FLOW_QUERY_REPLY,
+                load,
+                min(pace_ms, _MAX_PACE_MS),
+                len(denied),
             )
             return header + b''.join((*denied, *possibly_held))
-        case ForwardReply(outcome, load, revision, flow, raw):
+        case ForwardReply(outcome, load, revision, flow, raw, pace_ms):
             header = _FORWARD_REPLY_HEADER.pack(
-                _FORWARD_REPLY, outcome, load, revision, flow
+                _FORWARD_REPLY,
+                outcome,
+                load,
+                min(pace_ms, _MAX_PACE_MS),
+                revision,
+                flow,
             )
             return header + raw
         case Digest():
@@ -125,9 +138,12 @@
 
 
 def _decode_flow_query_reply(datagram: bytes) -> FlowQueryReply:
-    _, load, denied_count = _FLOW_QUERY_REPLY_HEADER.unpack_from(datagram)
+    header = _FLOW_QUERY_REPLY_HEADER.unpack_from(datagram)
+    _, load, pace_ms, denied_count = header
     flows = _decode_flows(datagram, _FLOW_QUERY_REPLY_HEADER.size)
-    return FlowQueryReply(load, flows[:denied_count], flows[denied_count:])
+    return FlowQueryReply(
+        load, flows[:denied_count], flows[denied_count:], pace_ms
+    )
 
 
 def _decode_flows(datagram: bytes, start: int) -> tuple[FlowKey, ...]:
@@ -141,8 +157,9 @@
     return ForwardReply(
         outcome=ForwardOutcome(header[1]),
         load=header[2],
-        revision=header[3],
-        flow=header[4],
+        pace_ms=header[3],
+        revision=header[4],
+        flow=header[5],
         raw=datagram[_FORWARD_REPLY_HEADER.size :],
     )
 
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -4,11 +4,13 @@
 the upstreams that hold their flows.
 """
 
+from collections import Counter, defaultdict
 from collections.abc import Mapping
-from typing import Final
+from typing import Final, TypeAlias
 
 from ragwortpost._datagrams import HostPort, SendDatagram
 from ragwortpost.datapath.connection import (
+    AdmissionRate,
     FlowCache,
     FlowKey,
     OutgoingQuery,
@@ -16,8 +18,10 @@
     PacketFormat,
     PendingFlow,
     PendingFlows,
+    WaitLimits,
     caller_address,
     route_key_of,
+    should_refuse,
 )
 from ragwortpost.datapath.process._codec import batch_flows, encode
 from ragwortpost.datapath.process._flow_locator import (
@@ -43,12 +47,9 @@
 LATE_TICK_SECONDS: Final = 0.15
 # Reset reason of a flow that all its possible holders have denied.
 HELD_BY_NONE: Final = 'held by no upstream'
-# Share of a route's timeout for which a new flow may wait for an upstream; the
-# rest is left for its request.
-MAX_WAIT_SHARE: Final = 0.6
-# Maximum wait of a new flow: callers abandon it after 1.4 s, and the outcome
-# has to reach them before.
-MAX_WAIT_SECONDS: Final = 1.3
+
+# The service of waiting flows, and whether it also has less urgent routes.
+_QueueKey: TypeAlias = tuple[str | None, bool]
 
 
 class Entry:
@@ -73,6 +74,9 @@
         self._last_packet_at = context.clock.monotonic()
         self._last_tick_at = self._last_packet_at
         self._pending = PendingFlows()
+        self._admission_rates: defaultdict[_QueueKey, AdmissionRate] = (
+            defaultdict(AdmissionRate)
+        )
         ports = FlowLocatorPorts(
             self._forward, self._send_query, self._reset_not_held
         )
@@ -171,14 +175,29 @@
 
     def _assign_waiting(self) -> None:
         """Assign waiting flows while upstreams have capacity."""
-        full = set()
-        for pending in self._pending.waiting():
-            service = self._state.fleet.service_of(pending.packet.flow)
-            if service in full and not self._has_waited_too_long(pending):
-                continue
-            self._assign(pending)
+        waiting: Counter[_QueueKey] = Counter()
+        fleet = self._state.fleet
+        flows = sorted(
+            self._pending.waiting(),
+            key=lambda pending: not fleet.is_urgent(pending.packet.flow),
+        )
+        for pending in flows:
+            queue = self._queue_of(pending.packet.flow)
+            if waiting[queue]:
+                # The flows before it have found no room.
+                self._wait_for_capacity(pending, waiting[queue])
+            else:
+                self._assign(pending)
             if self._pending.is_waiting(pending.packet.flow):
-                full.add(service)
+                waiting[queue] += 1
+        now = self._clock.monotonic()
+        for key, rate in self._admission_rates.items():
+            rate.set_congested(now, congested=waiting[key] > 0)
+
+    def _queue_of(self, flow: FlowKey) -> _QueueKey:
+        """Return the key of the waiting flows that a flow competes with."""
+        fleet = self._state.fleet
+        return fleet.service_of(flow), fleet.is_urgent(flow)
 
     def _on_opened(self, flow: FlowKey, agent: str) -> None:
         pending = self._pending.get(flow)
@@ -188,6 +207,8 @@
             elapsed = self._clock.monotonic() - pending.started_at
             self._metrics.accept_seconds.observe(elapsed)
             tried = len(pending.tried)
+            queue = self._queue_of(flow)
+            self._admission_rates[queue].record(self._clock.monotonic())
             self._log.write_flow('opened', flow, agent=agent, tried=tried)
 
     def _on_held(self, flow: FlowKey, agent: str) -> None:
@@ -217,7 +238,7 @@
             self._pending.remove(packet.flow)
             self._handle_unrouted(packet)
             return
-        candidate = self._selector.select(service, pending.tried)
+        candidate = self._selector.select(packet.flow, service, pending.tried)
         if candidate is None:
             self._wait_for_capacity(pending)
             return
@@ -226,22 +247,24 @@
         self._directory.count_assigned_flow(candidate.agent, now)
         self._forward(packet, candidate.agent, ForwardPurpose.NEW_FLOW)
 
-    def _wait_for_capacity(self, pending: PendingFlow) -> None:
-        """Keep a new flow waiting; reset it if it has waited too long."""
-        if not self._has_waited_too_long(pending):
+    def _wait_for_capacity(self, pending: PendingFlow, ahead: int = 0) -> None:
+        """Keep a new flow waiting, or refuse it if its turn comes too late.
+
+        ``ahead`` is the number of flows in its queue that wait before it.
+        """
+        now = self._clock.monotonic()
+        flow = pending.packet.flow
+        route = self._state.fleet.routes[route_key_of(flow)]
+        queue = self._queue_of(flow)
+        congestion = self._admission_rates[queue].congestion(now)
+        waited = now - pending.started_at
+        limits = WaitLimits(route.timeout, route.target)
+        if not should_refuse(limits, waited, ahead, congestion):
             self._pending.mark_waiting(pending)
             return
-        flow = pending.packet.flow
         self._pending.remove(flow)
         self._reset(flow, pending.packet.acknowledged, 'no upstream with room')
 
-    def _has_waited_too_long(self, pending: PendingFlow) -> bool:
-        """Return whether too little time is left for the flow's request."""
-        route = self._state.fleet.routes.get(route_key_of(pending.packet.flow))
-        max_wait = route.timeout * MAX_WAIT_SHARE if route else 0
-        max_wait = min(max_wait, MAX_WAIT_SECONDS)
-        return self._clock.monotonic() - pending.started_at >= max_wait
-
     def _reassign(self, flow: FlowKey, agent: str) -> None:
         pending = self._pending.get(flow)
         if pending is None:
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -79,6 +79,8 @@
     # The packet, if its purpose was KNOWN_FLOW and the flow is not held; else
     # empty.
     raw: bytes
+    # Milliseconds that the upstream takes for each request, zero if unknown.
+    pace_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,8 @@
     # Flows that the upstream holds or may hold; the entry forwards a packet of
     # each to find out.
     possibly_held: tuple[FlowKey, ...]
+    # Milliseconds that the upstream takes for each request, zero if unknown.
+    pace_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +133,8 @@
     # Addresses of entries that it recently received digests from, with its
     # own if it is an entry.
     entries: tuple[str, ...]
+    # Milliseconds that its upstream takes for each request, zero if unknown.
+    pace_ms: int = 0
 
 
 Message: TypeAlias = (
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -244,8 +244,10 @@
                 self._agent.receive_outbound,
             )
             local_status = self._gossip.local_status
-            local_status.load = lambda: self._agent.load if self._agent else 0
-            self._agent.open(outbound, to_peer, lambda: local_status.leaving)
+            agent = self._agent
+            local_status.load = lambda: agent.load
+            local_status.pace_ms = lambda: agent.pace_ms
+            agent.open(outbound, to_peer, lambda: local_status.leaving)
 
     def _dispatch_datagram(self, datagram: bytes, sender: HostPort) -> None:
         host = sender[0]
--- a/src/ragwortpost/datapath/process/_peer_directory.py
+++ b/src/ragwortpost/datapath/process/_peer_directory.py
@@ -15,6 +15,7 @@
 RETRY_AFTER_SECONDS: Final = 0.5
 # An entry is contacted for this time after a digest has advertised it.
 ADVERTISED_SECONDS: Final = 5.0
+_MS: Final = 1000
 
 
 @dataclass(slots=True)
@@ -31,6 +32,8 @@
     last_digest_at: float
     # Reported load of its upstream, with the flows assigned to it since.
     load: float
+    # Seconds that its upstream takes for each request, zero if unknown.
+    pace: float
     # Monotonic time of the last load report or assigned flow, in seconds.
     load_updated_at: float
 
@@ -68,6 +71,7 @@
                 now,
                 now,
                 digest.load,
+                digest.pace_ms / _MS,
                 now,
             )
         else:
@@ -76,6 +80,7 @@
             known.last_received_at = now
             known.last_digest_at = now
             known.load = digest.load
+            known.pace = digest.pace_ms / _MS
             known.load_updated_at = now
         for entry in digest.entries:
             if entry != self._host:
@@ -136,11 +141,14 @@
             and now - attempted_at < RETRY_AFTER_SECONDS
         )
 
-    def record_load(self, host: str, load: float, now: float) -> None:
-        """Record the load that a process reports."""
+    def record_load(
+        self, host: str, load: float, now: float, *, pace_ms: float = 0
+    ) -> None:
+        """Record the load and the pace that a process reports."""
         peer = self._peers.get(host)
         if peer is not None:
             peer.load = load
+            peer.pace = pace_ms / _MS
             peer.load_updated_at = now
 
     def count_assigned_flow(self, host: str, now: float) -> None:
--- a/src/ragwortpost/datapath/process/_upstream_selector.py
+++ b/src/ragwortpost/datapath/process/_upstream_selector.py
@@ -1,6 +1,8 @@
 """Selects upstreams for new flows and agents to query for unknown flows."""
 
+import math
 from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from ragwortpost.datapath.connection import (
@@ -8,7 +10,9 @@
     FlowKey,
     backlog_limit,
     registrars_of,
+    route_key_of,
     select_local_first,
+    slowdown,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._node_settings import NodeRole
@@ -28,6 +32,18 @@
 # A reported load older than this is outdated: one more new flow is tried at an
 # agent that reported a full queue.
 MAX_LOAD_AGE_SECONDS: Final = 0.06
+# The median pace of a service's upstreams is computed again after this time.
+MEDIAN_PACE_SECONDS: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class _Requirements:
+    """What the route of a new flow requires of its upstream."""
+
+    # Seconds within which the route's requests should be answered.
+    target: float
+    # Whether its service also has less urgent routes.
+    urgent: bool
 
 
 class UpstreamSelector:
@@ -40,18 +56,26 @@
         self._rng = context.rng
         self._state = context.state
         self._directory = context.directory
+        # Time of the computation and the median, by service.
+        self._median_paces: dict[str, tuple[float, float]] = {}
 
-    def select(self, service: str, tried: Collection[str]) -> Candidate | None:
+    def select(
+        self, flow: FlowKey, service: str, tried: Collection[str]
+    ) -> Candidate | None:
         """Return the upstream for a new flow of a service, if one has room."""
+        fleet = self._state.fleet
+        requirements = _Requirements(
+            fleet.routes[route_key_of(flow)].target, fleet.is_urgent(flow)
+        )
         local, remote = [], []
-        for upstream in self._state.fleet.upstreams.get(service, ()):
+        for upstream in fleet.upstreams.get(service, ()):
             if upstream.data_centre == self._data_centre:
                 local.append(upstream)
             else:
                 remote.append(upstream)
         return select_local_first(
-            self._candidates(local),
-            lambda: self._candidates(remote),
+            self._candidates(local, requirements),
+            lambda: self._candidates(remote, requirements),
             tried,
             self._rng,
         )
@@ -96,37 +120,64 @@
         return tuple(hosts)
 
     def _candidates(
-        self, upstreams: Iterable[UpstreamEntry]
+        self, upstreams: Iterable[UpstreamEntry], requirements: _Requirements
     ) -> list[Candidate]:
         """Return the upstreams that may be assigned a new flow."""
         fleet = self._state.fleet
         return [
-            self._candidate(upstream)
+            self._candidate(upstream, requirements)
             for upstream in upstreams
             if fleet.accepts_new_flows(upstream)
             and self._is_available(upstream.host)
             and not self._is_lapsed_and_unresponsive(upstream)
         ]
 
-    def _candidate(self, upstream: UpstreamEntry) -> Candidate:
+    def _candidate(
+        self, upstream: UpstreamEntry, requirements: _Requirements
+    ) -> Candidate:
         peer = self._directory.peers.get(upstream.host)
+        pace = peer.pace if peer else 0
+        limit = backlog_limit(
+            upstream.slots,
+            pace,
+            requirements.target,
+            urgent=requirements.urgent,
+        )
         return Candidate(
             agent=upstream.host,
             is_local=upstream.data_centre == self._data_centre,
-            load=self._estimated_load(peer, upstream.slots),
+            load=self._estimated_load(peer, limit),
             slots=upstream.slots,
             warming_up=self._state.warm_up_left(upstream.ident) > 0,
             agent_unresponsive=self.is_unresponsive(upstream.host),
+            slowdown=slowdown(pace, self._median_pace(upstream.service)),
+            limit=limit,
+        )
+
+    def _median_pace(self, service: str) -> float:
+        """Return the median pace of a service's upstreams, zero if unknown."""
+        now = self._clock.monotonic()
+        computed_at, median = self._median_paces.get(service, (-math.inf, 0))
+        if now - computed_at < MEDIAN_PACE_SECONDS:
+            return median
+        peers = self._directory.peers
+        paces = sorted(
+            peers[upstream.host].pace
+            for upstream in self._state.fleet.upstreams.get(service, ())
+            if upstream.host in peers and peers[upstream.host].pace
         )
+        median = paces[len(paces) // 2] if paces else 0
+        self._median_paces[service] = (now, median)
+        return median
 
-    def _estimated_load(self, peer: Peer | None, slots: int) -> float:
+    def _estimated_load(self, peer: Peer | None, limit: int) -> float:
         if peer is None:
             return 0
         if (
             self._clock.monotonic() - peer.load_updated_at
             > MAX_LOAD_AGE_SECONDS
         ):
-            return min(peer.load, backlog_limit(slots) - 1)
+            return min(peer.load, limit - 1)
         return peer.load
 
     def _is_lapsed_and_unresponsive(self, upstream: UpstreamEntry) -> bool:
--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -54,6 +54,8 @@
     leaving: bool = False
     # Returns the load of its upstream.
     load: Callable[[], int] = int
+    # Returns the milliseconds that its upstream takes for each request.
+    pace_ms: Callable[[], int] = int
 
 
 class ViewGossip:
@@ -167,6 +169,7 @@
             leaving=self.local_status.leaving,
             load=self.local_status.load(),
             entries=recent + own_address,
+            pace_ms=self.local_status.pace_ms(),
         )
 
     def _next_targets(self) -> Sequence[str]:
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -105,6 +105,8 @@
         self.received: list[Packet] = []
         self.accepts = True
         self.responds = True
+        # Whether it resets unknown flows instead of returning their packets.
+        self.resets_unknown_flows = False
 
     def receive(self, raw: bytes) -> None:
         packet = PlainFormat().from_caller(raw)
@@ -118,6 +120,8 @@
             self.send(accepting_packet(packet.flow, self.flows[packet.flow]))
         elif packet.flow in self.flows:
             self.send(make_packet(packet.flow, length=10))
+        elif self.resets_unknown_flows:
+            self.send(make_packet(packet.flow, resets=True))
         else:
             self.send(replace(packet, returned=True))
 
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -249,6 +249,29 @@
         assert slow.received[-1] == packet
         assert not network.resets
 
+    def test_not_by_a_starting_upstream_that_does_not_hold_the_flow(
+        self,
+    ) -> None:
+        network = Network()
+        holder = open_flow(network)
+        for document in network.documents:
+            if document.host != holder:
+                network.start_agent(document, restarted=True)
+                network.upstreams[document.host].resets_unknown_flows = True
+        network.add_entry(SECOND_ENTRY)
+        for _ in range(3):
+            send_data(network, SECOND_ENTRY)
+        assert not network.resets
+        assert len(network.upstreams[holder].received) == 5
+
+    def test_lost_flow_that_all_upstreams_reset_is_reset(self) -> None:
+        network = Network()
+        for document in network.documents:
+            network.start_agent(document, restarted=True)
+            network.upstreams[document.host].resets_unknown_flows = True
+        network.send_packet(make_packet(FLOW, length=20, acknowledged=77))
+        assert [packet.sequence for packet in network.resets] == [77]
+
     def test_flow_held_by_no_upstream_is_reset_at_once(self) -> None:
         network = Network()
         network.send_packet(make_packet(FLOW, length=20, acknowledged=77))
--- a/src/ragwortpost/datapath/version/_changes.py
+++ b/src/ragwortpost/datapath/version/_changes.py
@@ -43,6 +43,7 @@
     _Seconds,
     _Seconds,
     Annotated[tuple[_ShareRow, ...], Meta(min_length=1)],
+    int,
 ]
 _PolicyRow: TypeAlias = tuple[str, Natural, _Seconds, _Seconds | None]
 _CONFIGURATION_DECODER: Final[Decoder[Any]] = Decoder(
@@ -187,10 +188,17 @@
     name: str,
     timeout: float,
     target: float,
-    shares: Sequence[tuple[str, float]],
+    *others: Any,
 ) -> Route:
-    all_shares = tuple(ServiceShare(*share) for share in shares)
-    return Route(key, name, timeout, target, all_shares)
+    shares, priority = others
+    return Route(
+        key,
+        name,
+        timeout,
+        target,
+        tuple(ServiceShare(*share) for share in shares),
+        priority,
+    )
 
 
 def _decode_taken_out(row: Raw) -> TakenOut:
--- a/src/ragwortpost/datapath/version/_documents.py
+++ b/src/ragwortpost/datapath/version/_documents.py
@@ -30,6 +30,8 @@
     target: float
     # The services that new flows are assigned to; at least one.
     shares: tuple[ServiceShare, ...]
+    # The urgency of its requests: lower numbers are more urgent.
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ragwortpost/datapath/version/_fleet_index.py
+++ b/src/ragwortpost/datapath/version/_fleet_index.py
@@ -36,6 +36,8 @@
     upstreams_by_host: Mapping[str, UpstreamEntry]
     # Data centres that operators drained.
     drained_data_centres: frozenset[str]
+    # The least urgent priority of the routes that lead to each service.
+    least_urgent_priorities: Mapping[str, int]
 
     def service_of(self, flow: FlowKey) -> str | None:
         """Return the service of a flow, or none if it has no route.
@@ -56,6 +58,16 @@
                 return share.service
         return route.shares[-1].service
 
+    def is_urgent(self, flow: FlowKey) -> bool:
+        """Return whether a flow's service also has less urgent routes."""
+        route = self.routes.get(route_key_of(flow))
+        if route is None:
+            return False
+        return any(
+            route.priority < self.least_urgent_priorities[share.service]
+            for share in route.shares
+        )
+
     def accepts_new_flows(self, upstream: UpstreamEntry) -> bool:
         """Return whether an upstream may be assigned new flows."""
         if upstream.leaving:
@@ -63,7 +75,7 @@
         return upstream.data_centre not in self.drained_data_centres
 
 
-EMPTY_INDEX = FleetIndex(None, {}, {}, {}, {}, frozenset())
+EMPTY_INDEX = FleetIndex(None, {}, {}, {}, {}, frozenset(), {})
 
 
 def build_index(records: Iterable[Record], previous: FleetIndex) -> FleetIndex:
@@ -105,4 +117,14 @@
         upstreams,
         upstreams_by_host,
         frozenset(drained_data_centres),
+        _least_urgent_priorities(routes.values()),
     )
+
+
+def _least_urgent_priorities(routes: Iterable[Route]) -> Mapping[str, int]:
+    priorities: dict[str, int] = {}
+    for route in routes:
+        for share in route.shares:
+            known = priorities.get(share.service, route.priority)
+            priorities[share.service] = max(known, route.priority)
+    return priorities
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -105,6 +105,7 @@
         timeout=fields['timeoutMs'] / _MS_PER_SECOND,
         target=fields['targetLatencyMs'] / _MS_PER_SECOND,
         shares=shares,
+        priority=int(fields.get('priority', 0)),
     )
 
 
