Clock of liveness that stands still with its process; mend the stand-in caller

The stand-in caller had sent data that acknowledged 1: its wait for the acceptance timed out in the same turn of the loop in which the acceptance arrived, it overwrote the expected sequence number and sent data. Found beside it by reading, and shown by a test in virtual time: an entry that did not run for seconds takes all agents for unresponsive before it has read their digests, and an upstream whose record has lapsed then no longer counts as a holder; an agent likewise takes its upstream for gone. Change: liveness, waits and retries use a clock that counts at most 0.25 s between two readings; the view's age and the log keep the system's. Without any running upstream, flows wait for one as before and count as no congestion.

--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -192,7 +192,9 @@
                 waiting[queue] += 1
         now = self._clock.monotonic()
         for key, rate in self._admission_rates.items():
-            rate.set_congested(now, congested=waiting[key] > 0)
+            # Without any upstream, flows wait for one to start instead.
+            congested = waiting[key] > 0 and self._selector.has_upstream(key[0])
+            rate.set_congested(now, congested=congested)
 
     def _queue_of(self, flow: FlowKey) -> _QueueKey:
         """Return the key of the waiting flows that a flow competes with."""
--- a/src/ragwortpost/datapath/process/_node_context.py
+++ b/src/ragwortpost/datapath/process/_node_context.py
@@ -9,12 +9,15 @@
 from ragwortpost.datapath.process._metrics import Metrics
 from ragwortpost.datapath.process._node_settings import NodeSettings
 from ragwortpost.datapath.process._peer_directory import PeerDirectory
+from ragwortpost.datapath.process._running_clock import RunningClock
 
 
 @dataclass(frozen=True)
 class NodeContext:
     """Shared components of one process."""
 
+    # Stands still while the process does not run; the view's age and the log
+    # use the system's clock.
     clock: Clock
     settings: NodeSettings
     rng: random.Random
@@ -37,7 +40,7 @@
     metrics = Metrics()
     log = EventLog(clock, metrics.events)
     return NodeContext(
-        clock,
+        RunningClock(clock),
         settings,
         rng,
         metrics,
--- a/src/ragwortpost/datapath/process/_upstream_selector.py
+++ b/src/ragwortpost/datapath/process/_upstream_selector.py
@@ -80,6 +80,17 @@
             self._rng,
         )
 
+    def has_upstream(self, service: str | None) -> bool:
+        """Return whether an upstream of a service runs, even if it is full."""
+        if service is None:
+            return False
+        fleet = self._state.fleet
+        return any(
+            fleet.accepts_new_flows(upstream)
+            and not self.is_unresponsive(upstream.host)
+            for upstream in fleet.upstreams.get(service, ())
+        )
+
     def other_service_holders(self, service: str) -> Sequence[str]:
         """Return the agents that may hold flows of the other services."""
         other_services = [
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -42,6 +42,8 @@
 
 ENTRY = '10.0.1.1'
 UPSTREAM_PORT = 8000
+# Interval of ticks, the most that a process sleeps.
+TICK_SECONDS = 0.1
 
 
 class ManualClock:
@@ -198,8 +200,8 @@
                 context.state.confirm(self.revision, 0)
 
     def deliver_digests(self) -> None:
-        now = self.clock.monotonic()
         for host in self.entry_nodes:
+            now = self.contexts[host].clock.monotonic()
             directory = self.contexts[host].directory
             for document in self.documents:
                 if document.host not in self.unreachable:
@@ -208,12 +210,19 @@
                     )
 
     def advance(self, seconds: float) -> None:
+        """Advance the clock while all processes run."""
+        end = self.clock.time + seconds
+        while self.clock.time < end:
+            self.clock.time = min(end, self.clock.time + TICK_SECONDS)
+            self.deliver_digests()
+            for node in self.entry_nodes.values():
+                node.tick()
+            for agent in self.agents.values():
+                agent.tick()
+
+    def stall(self, seconds: float) -> None:
+        """Advance the clock while no process runs."""
         self.clock.time += seconds
-        self.deliver_digests()
-        for node in self.entry_nodes.values():
-            node.tick()
-        for agent in self.agents.values():
-            agent.tick()
 
     def send_packet(self, packet: Packet, entry: str = ENTRY) -> None:
         self.entry_nodes[entry].receive_packet(packet.raw, ('caller', 0))
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -6,6 +6,7 @@
 entries with an empty cache, and old views.
 """
 
+import random
 from collections import Counter
 from dataclasses import replace
 
@@ -528,6 +529,58 @@
         assert len(network.resets) == 1
 
 
+class TestStarvedProcesses:
+    """A process that does not run for seconds draws no conclusions from it."""
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_an_entry_resets_no_held_flow(self, seed: int) -> None:
+        rng = random.Random(seed)
+        network = Network(*(upstream(number) for number in range(1, 6)))
+        holder = open_flow(network)
+        network.add_entry(SECOND_ENTRY)
+        network.advance(rng.uniform(0.1, 1))
+        # The store loses the record of an upstream that is starved as well.
+        document = next(
+            other for other in network.documents if other.host == holder
+        )
+        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.stall(rng.uniform(1, 2.4))
+        if rng.random() < 0.5:
+            network.start_agent(document, restarted=True)
+        # Packets of callers are read before the digests that wait beside them.
+        network.unreachable.add(holder)
+        send_data(network, SECOND_ENTRY)
+        network.unreachable.clear()
+        assert not network.resets
+        network.advance(0.3)
+        send_data(network, SECOND_ENTRY)
+        assert not network.resets
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_an_agent_denies_no_held_flow(self, seed: int) -> None:
+        rng = random.Random(seed)
+        network = Network()
+        holder = open_flow(network)
+        document = next(
+            other for other in network.documents if other.host == holder
+        )
+        network.start_agent(document, restarted=True)
+        fake = network.upstreams[holder]
+        fake.responds = False
+        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.add_entry(SECOND_ENTRY)
+        for _ in range(3):
+            send_data(network, SECOND_ENTRY)
+        # What the upstream sent waits in the socket of the starved agent.
+        network.stall(rng.uniform(0.5, 2))
+        network.contexts[holder].state.confirm(network.revision, 0)
+        network.agents[holder].tick()
+        assert not network.resets
+        fake.responds = True
+        send_data(network, SECOND_ENTRY)
+        assert not network.resets
+
+
 class TestUnresponsiveAgents:
     """Agents without a recent message, as after a mass restart."""
 
--- a/standin/fleet/callers.py
+++ b/standin/fleet/callers.py
@@ -166,7 +166,10 @@
                     while not self.is_open and not self.is_reset:
                         await self._wait()
             except TimeoutError:
-                continue
+                # A process without CPU time may see the acceptance in the same
+                # turn of the loop as the timeout.
+                if not self.is_open:
+                    continue
             if self.is_open:
                 return
             raise FlowFailedError('refused')
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,13 +7,17 @@
 """
 
 import asyncio
+import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from standin.fleet.callers import SYN_RETRY_SECONDS, CallerFlow, CallerHost
 from standin.fleet.demo import Demo
 from standin.fleet.deployment import NETWORK
 from standin.fleet.soak import BASE_FAULTS, run_seed
+from standin.fleet.stream import ACK, SYN, Segment, decode
 
 
 def worker_network(worker: str) -> int:
@@ -21,6 +25,35 @@
     return NETWORK + int(worker.removeprefix('gw').replace('master', '0'))
 
 
+class TestCallerFlow:
+    """The stand-in caller opens flows as the platform's callers do.
+
+    A caller that sent data before it had the upstream's sequence number made
+    the demo report resets of flows that no upstream held (16 demos at once).
+    """
+
+    def test_acceptance_and_timeout_in_the_same_turn_of_the_loop(self) -> None:
+        sent: list[Segment] = []
+
+        async def open_while_starved() -> CallerFlow:
+            host = CallerHost('127.0.0.1', 1, lambda *_: 'entry')
+            host.send_to_entry = (  # type: ignore[method-assign]
+                lambda packet, _: sent.append(decode(packet))
+            )
+            flow = host.new_flow(('198.18.0.1', 443))
+            opening = asyncio.create_task(flow.open())
+            await asyncio.sleep(0)
+            time.sleep(SYN_RETRY_SECONDS[0] + 0.05)
+            accepted = replace(sent[0], flags=SYN | ACK, sequence=7000)
+            flow.on_segment(accepted)
+            await opening
+            return flow
+
+        flow = asyncio.run(open_while_starved())
+        assert flow.stream.expected == 7001
+        assert len(sent) == 1
+
+
 class TestFleetDemo:
     """Processes stop, join and are killed, an upstream leaves, the store fails."""
 
