Make the test of the stand-in caller fail without its mend

Run on the stand-in before: failed (expected sequence number 1 in place of 7001). On the mended one: passed.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -45,7 +45,7 @@
             await asyncio.sleep(0)
             time.sleep(SYN_RETRY_SECONDS[0] + 0.05)
             accepted = replace(sent[0], flags=SYN | ACK, sequence=7000)
-            flow.on_segment(accepted)
+            asyncio.get_running_loop().call_soon(flow.on_segment, accepted)
             await opening
             return flow
 
