Reset streams to peers when they are closed; bound make bench

Ruled out: refusals of successors (log line not_adopted: a warming-up one refuses and the next accepts), incomplete frames. Change: a closed call resets its stream. Agents log why a connection was not exported and who did not adopt it.

--- a/bench/speed.py
+++ b/bench/speed.py
@@ -26,13 +26,16 @@
 from ragwortpost._datagrams import UdpSockets, _read_batch
 from ragwortpost.version import Role, SocketAddress
 from standin.caller import open_caller
-from standin.deployment import Deployment, cedarline
+from standin.deployment import Deployment, ServicePlan, cedarline
 from tests.harness.network import Host, Network
 from tests.harness.peers import MemoryExchange, PeerNetwork
 from tests.harness.platform import FakePlatformPort, Platform
 
 BURST_SIZE = 64
 ROUND_COUNT = 400
+# Connections that are opened at a time, and the seconds that they may take.
+OPEN_BATCH = 10
+OPEN_TIMEOUT_SECONDS = 30
 
 
 async def measure_entry() -> dict[str, float]:
@@ -176,13 +179,8 @@
             for connection_count in (500, 1000, 1900):
                 started = time.monotonic()
                 while opened < connection_count:
-                    await asyncio.gather(
-                        *(
-                            open_caller(stack, service.host, service.port, 120)
-                            for _ in range(10)
-                        )
-                    )
-                    opened += 10
+                    await open_batch(stack, service, opened)
+                    opened += OPEN_BATCH
                 rows.append(
                     connection_row(
                         agent_pid, entry_pid, opened, time.monotonic() - started
@@ -191,6 +189,28 @@
     return rows
 
 
+async def open_batch(
+    stack: AsyncExitStack, service: ServicePlan, opened: int
+) -> None:
+    """Open some more connections.
+
+    Raises :class:`TimeoutError` with the number of those that are open.
+    """
+    try:
+        async with asyncio.timeout(OPEN_TIMEOUT_SECONDS):
+            await asyncio.gather(
+                *(
+                    open_caller(stack, service.host, service.port, 120)
+                    for _ in range(OPEN_BATCH)
+                )
+            )
+    except TimeoutError as error:
+        raise TimeoutError(
+            f'connections at one agent: {opened} are open, the next '
+            f'{OPEN_BATCH} took more than {OPEN_TIMEOUT_SECONDS} s'
+        ) from error
+
+
 def connection_row(
     agent_pid: int, entry_pid: int, connections: int, seconds: float
 ) -> dict[str, float]:
--- a/src/ragwortpost/connection/_caller_connection.py
+++ b/src/ragwortpost/connection/_caller_connection.py
@@ -222,10 +222,12 @@
         """
         http = self._http
         if http is None:
+            _log_not_exported('handshake not complete')
             return None
         if not await self._poll_until(
             lambda: self._tasks.keys() <= self.event_streams.keys(), deadline
         ):
+            _log_not_exported('requests are running')
             return None
         open_streams = dict(self.event_streams)
         responded_streams = frozenset(self._responded_streams)
@@ -239,9 +241,11 @@
             ),
             deadline,
         ):
+            _log_not_exported('received frames are incomplete')
             return None
         caller_streams = http.caller_streams
         if caller_streams is None:
+            _log_not_exported('HTTP/3 is not set up')
             return None
         self._exported = True
         state = export_transport_state(self._quic, self._clock.monotonic())
@@ -422,6 +426,10 @@
             task.cancel()
 
 
+def _log_not_exported(why: str) -> None:
+    logging.info('event=not_exported why=%s', why)
+
+
 def _resumed_request(events: OpenEvents) -> IncomingRequest:
     headers = [
         (header.name, header.value)
--- a/src/ragwortpost/process/_connection_transfers.py
+++ b/src/ragwortpost/process/_connection_transfers.py
@@ -139,12 +139,17 @@
             return None
         state.service = self._service
         for successor in self._candidates():
-            match await self._send_state(successor, state):
-                case AdoptOutcome.ACCEPTED:
-                    return successor
-                case AdoptOutcome.UNKNOWN:
-                    # A second agent must not continue the connection as well.
-                    return None
+            outcome = await self._send_state(successor, state)
+            if outcome is AdoptOutcome.ACCEPTED:
+                return successor
+            logging.info(
+                'event=not_adopted peer=%s outcome=%s',
+                successor.name,
+                outcome.value,
+            )
+            if outcome is AdoptOutcome.UNKNOWN:
+                # A second agent must not continue the connection as well.
+                return None
         return None
 
     def _candidates(self) -> Sequence[Upstream]:
--- a/src/ragwortpost/process/_peer_rpc.py
+++ b/src/ragwortpost/process/_peer_rpc.py
@@ -181,13 +181,18 @@
 async def _ignore_disconnect(
     stream: ClientStream[ServeRequest, ServeReply],
 ) -> AsyncGenerator[ClientStream[ServeRequest, ServeReply], None]:
-    """Open a stream; ignore connection errors while closing it."""
+    """Open a stream; reset it and ignore connection errors when closing it.
+
+    Closed without an error, the library would wait until the peer ends the
+    stream, and an event stream has no end.
+    """
     await stream.__aenter__()
     try:
         yield stream
     finally:
+        closing = asyncio.CancelledError()
         with suppress(*_CONNECTION_ERRORS):
-            await stream.__aexit__(None, None, None)
+            await stream.__aexit__(type(closing), closing, None)
 
 
 async def _read_outcome(
