Reject store items that peers could not decode

Cause, by reading after the strict decoders of peers' messages: an upstream's item with negative slots or warm-up, a short form of its address (10.1) or a start time beyond 64 bits was accepted from the store, and every peer would have refused the whole message of changes that carried it. Ruled out: weaker checks between peers. Change: such an item is unusable (logged with its key), a negative warm-up counts as none. Also tests of slow upstreams, of the reserve of urgent routes and of their order.

--- a/src/ragwortpost/datapath/connection/tests/test_upstream_selection.py
+++ b/src/ragwortpost/datapath/connection/tests/test_upstream_selection.py
@@ -15,6 +15,7 @@
     load_score,
     select_local_first,
     select_upstream,
+    slowdown,
 )
 
 SERVICE_SECONDS = 0.035
@@ -65,6 +66,50 @@
         assert chosen == {IDLE, other()}
 
 
+class TestSlowUpstreams:
+    """A slow upstream gets what it can finish in time."""
+
+    def test_its_load_counts_for_what_others_finish_meanwhile(self) -> None:
+        slow = replace(IDLE, load=0, slowdown=5.0)
+        busy = other(load=6)
+        assert select_upstream([slow, busy], (), random.Random(1)) == busy
+
+    def test_it_is_selected_when_the_others_have_no_room(self) -> None:
+        slow = replace(IDLE, slowdown=5.0)
+        full = other(load=backlog_limit(IDLE.slots))
+        assert select_upstream([slow, full], (), random.Random(1)) == slow
+
+    @pytest.mark.parametrize(
+        ('pace', 'factor'), [(0, 1), (0.02, 1), (0.03, 1), (0.06, 3)]
+    )
+    def test_only_clearly_slower_ones_are_slow(
+        self, pace: float, factor: float
+    ) -> None:
+        assert slowdown(pace, 0.02) == pytest.approx(factor)
+
+    def test_without_a_median_none_is_slow(self) -> None:
+        assert slowdown(9, 0) == 1
+
+    @pytest.mark.parametrize(
+        ('pace', 'target', 'limit'),
+        [
+            (0, 0.1, 4),
+            (0.01, 0.1, 4),
+            (0.04, 0.1, 2),
+            (0.5, 0.1, 1),
+            (0.5, 4.0, 4),
+        ],
+    )
+    def test_the_target_bounds_its_backlog(
+        self, pace: float, target: float, limit: int
+    ) -> None:
+        assert backlog_limit(1, pace, target) == limit
+
+    def test_urgent_flows_have_a_reserve(self) -> None:
+        assert backlog_limit(2, urgent=True) > backlog_limit(2)
+        assert backlog_limit(2, 0.5, 0.1, urgent=True) == 2
+
+
 class TestLocalFirst:
     """Remote candidates are computed only if they could win."""
 
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -41,6 +41,9 @@
     return holder
 
 
+LATER_PORT = 8080
+
+
 def send_data(network: Network, entry: str) -> None:
     sequence = network.upstreams[network.holder(FLOW)].flows[FLOW]
     network.send_packet(
@@ -598,6 +601,43 @@
             assert assigned[unresponsive.host] <= 1
 
 
+class TestUrgentRoutes:
+    """Flows of more urgent routes are placed before others."""
+
+    def network(self) -> Network:
+        """Return a network with one upstream and two routes to it."""
+        network = Network(upstream(1, slots=1))
+        later = replace(
+            ROUTE,
+            key=ROUTE.key[:4] + LATER_PORT.to_bytes(2),
+            name='queue',
+            priority=2,
+        )
+        urgent = replace(ROUTE, priority=1)
+        changed = replace(CONFIGURATION, version=9, routes=(urgent, later))
+        network.publish(configuration_record(0, changed))
+        return network
+
+    def test_they_have_a_reserve_behind_others(self) -> None:
+        network = self.network()
+        for number in range(10):
+            network.send_packet(opening_packet(flow_key(number, LATER_PORT)))
+        assert len(network.upstreams['10.0.0.1'].flows) == 4
+        for number in range(10):
+            network.send_packet(opening_packet(flow_key(number)))
+        opened = network.upstreams['10.0.0.1'].flows
+        assert sum(flow_key(number) in opened for number in range(10)) == 2
+
+    def test_of_waiting_flows_they_are_placed_first(self) -> None:
+        network = self.network()
+        network.upstreams['10.0.0.1'].accepts = False
+        network.send_packet(opening_packet(flow_key(1, LATER_PORT)))
+        network.send_packet(opening_packet(flow_key(1)))
+        network.upstreams['10.0.0.1'].accepts = True
+        network.advance(0.02)
+        assert next(iter(network.upstreams['10.0.0.1'].flows)) == flow_key(1)
+
+
 class TestBacklog:
     """No upstream is assigned more than a short queue."""
 
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -3,7 +3,7 @@
 import json
 from base64 import b64decode
 from collections.abc import Mapping
-from socket import inet_aton
+from socket import inet_aton, inet_ntoa
 from typing import Any, Final
 
 from ragwortpost.datapath.version import (
@@ -28,7 +28,10 @@
     TypeError,
     AttributeError,
     OSError,
+    OverflowError,
 )
+# The largest signed number of 64 bits.
+_MAX_NATURAL: Final = 0x7FFFFFFFFFFFFFFF
 _PORT_BYTES: Final = 2
 
 
@@ -125,20 +128,29 @@
     if fields['state'] not in _STATES:
         raise UnusableItemError(f'unknown state {fields["state"]!r}')
     host, _, port = fields['address'].rpartition(':')
-    inet_aton(host)
+    if inet_ntoa(inet_aton(host)) != host:
+        raise UnusableItemError(f'{host!r} is not a dotted IPv4 address')
     int(port)
     return UpstreamEntry(
         ident=upstream_id,
         service=_require_string(fields['service']),
         host=host,
         data_centre=_require_string(fields['zone']),
-        slots=int(fields['slots']),
+        slots=_require_natural(int(fields['slots'])),
         leaving=fields['state'] == 'draining',
-        warm_up_left=fields['warmupLeftMs'] / _MS_PER_SECOND,
-        born=int(fields.get('born', 0)),
+        # Also zero if it is negative or not a number.
+        warm_up_left=max(0, fields['warmupLeftMs'] / _MS_PER_SECOND),
+        born=_require_natural(int(fields.get('born', 0))),
     )
 
 
+def _require_natural(number: int) -> int:
+    """Return a number that peers can be told, too."""
+    if 0 <= number <= _MAX_NATURAL:
+        return number
+    raise UnusableItemError(f'{number} is not in 0 to {_MAX_NATURAL}')
+
+
 def _require_string(field: object) -> str:
     if isinstance(field, str):
         return field
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -15,10 +15,13 @@
 
 from ragwortpost.datapath.connection import format_flow
 from ragwortpost.datapath.version import (
+    Changes,
     Configuration,
     ServiceShare,
     TakenOut,
     UpstreamEntry,
+    decode_changes,
+    encode_changes,
 )
 from ragwortpost.platform import PlatformPacketFormat, parse_settings
 from ragwortpost.platform._item_decoder import UnusableItemError, decode_item
@@ -160,6 +163,7 @@
             'prefix': '/8443/',
             'timeoutMs': 800,
             'targetLatencyMs': 143,
+            'priority': 2,
             'split': split,
         }
         service = {
@@ -180,6 +184,7 @@
         assert isinstance(configuration, Configuration)
         assert configuration.idle_seconds == 15
         assert configuration.services[0].warm_up_rate is None
+        assert configuration.routes[0].priority == 2
         assert configuration.routes[0].shares == (
             ServiceShare('a', 90),
             ServiceShare('b', 10),
@@ -191,11 +196,14 @@
             ('service', 7),
             ('address', 'nowhere'),
             ('address', '10.1.0.2:http'),
+            ('address', '10.1:8000'),
             ('zone', None),
             ('slots', 'two'),
+            ('slots', -1),
             ('state', 'asleep'),
             ('warmupLeftMs', 'soon'),
             ('born', 'today'),
+            ('born', 2**70),
         ],
     )
     def test_upstream_with_an_invalid_field(
@@ -206,6 +214,29 @@
         with pytest.raises(UnusableItemError):
             decode_item(stored('servers/i-1', {**UPSTREAM, field: wrong}))
 
+    @given(
+        st.sampled_from(sorted(UPSTREAM)),
+        st.none()
+        | st.booleans()
+        | st.integers(-(2**80), 2**80)
+        | st.floats()
+        | st.text(max_size=12)
+        | st.ip_addresses(v=4).map(lambda host: f'{host}:80'),
+    )
+    def test_what_is_decoded_reaches_peers(
+        self, field: str, changed: object
+    ) -> None:
+        # A record that peers can't decode would keep all others from them.
+        try:
+            record = decode_item(
+                stored('servers/i-1', {**UPSTREAM, field: changed})
+            )
+        except UnusableItemError:
+            return
+        assert record is not None
+        changes = Changes(0, 1, (record,))
+        assert decode_changes(encode_changes(changes)).unwrap() == changes
+
     @pytest.mark.parametrize('field', ['service', 'address', 'state', 'slots'])
     def test_upstream_with_a_missing_field(self, field: str) -> None:
         fields = {name: UPSTREAM[name] for name in UPSTREAM if name != field}
