--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -145,7 +145,7 @@
 
 
 def _require_natural(number: int) -> int:
-    """Return a number that peers can be told, too."""
+    """Return a number if it fits the messages between processes."""
     if 0 <= number <= _MAX_NATURAL:
         return number
     raise UnusableItemError(f'{number} is not in 0 to {_MAX_NATURAL}')
--- a/src/ragwortpost/process/_connection_transfers.py
+++ b/src/ragwortpost/process/_connection_transfers.py
@@ -26,7 +26,7 @@
 
 
 class AdoptOutcome(Enum):
-    """What became of a connection's state that was sent to an agent."""
+    """Whether an agent that was sent a connection's state continues it."""
 
     # The agent continues the connection.
     ACCEPTED = 'accepted'
