Presume a request lost that has been in service for two seconds

Cause, by reading: a request whose caller gave up silently while its upstream restarted stays in service for the 30 s after which an idle flow is removed. The pace grew with it, the backlog limit fell to one request, and the agent refused all new flows of an idle upstream. Change: such a request no longer raises the pace after two seconds. Before: the new test failed. After: it passes.

--- a/src/ragwortpost/datapath/connection/_service_pace.py
+++ b/src/ragwortpost/datapath/connection/_service_pace.py
@@ -12,6 +12,9 @@
 # Without responses, the estimate halves in this time. An upstream that gets no
 # requests because it was slow is tried again after some seconds.
 HALF_LIFE_SECONDS: Final = 1.0
+# A request without a response for this time no longer counts as in service: its
+# upstream may have restarted, and its caller may have given up silently.
+LOST_SECONDS: Final = 2.0
 
 
 class ServicePace:
@@ -59,10 +62,11 @@
         """Return the estimated seconds for each request, zero if unknown.
 
         A request that has been in service for longer than the mean raises the
-        estimate.
+        estimate, unless it must be presumed lost.
         """
-        if self._in_progress:
-            return max(self._mean, now - self._busy_since)
+        in_service = now - self._busy_since
+        if self._in_progress and in_service < LOST_SECONDS:
+            return max(self._mean, in_service)
         idle_seconds = max(0, now - self._last_response_at)
         decay: float = 0.5 ** (idle_seconds / HALF_LIFE_SECONDS)
         return self._mean * decay
--- a/src/ragwortpost/datapath/connection/tests/test_service_pace.py
+++ b/src/ragwortpost/datapath/connection/tests/test_service_pace.py
@@ -52,6 +52,13 @@
         pace.on_request(now, continues=False)
         assert pace.seconds(now + 0.5) == pytest.approx(0.5)
 
+    def test_a_lost_request_does_not_keep_new_ones_away(self) -> None:
+        pace = ServicePace()
+        now = finish_requests(pace, 20, 0.02)
+        pace.on_request(now, continues=False)
+        assert pace.seconds(now + 1.9) > 1
+        assert pace.seconds(now + 2.1) <= 0.02
+
     def test_an_idle_upstream_is_tried_again(self) -> None:
         pace = ServicePace()
         now = finish_requests(pace, 20, 0.2)
