--- a/bench/speed.py
+++ b/bench/speed.py
@@ -25,7 +25,7 @@
 from ragwortpost.process import Entry, Node, ProcessSettings
 from ragwortpost._datagrams import UdpSockets, _read_batch
 from ragwortpost.version import Role, SocketAddress
-from standin.caller import open_caller
+from standin.caller import Caller, open_caller
 from standin.deployment import Deployment, ServicePlan, cedarline
 from tests.harness.network import Host, Network
 from tests.harness.peers import MemoryExchange, PeerNetwork
@@ -174,31 +174,34 @@
             agent_pid = deployment.processes[deployment.upstreams[0].name].pid
             entry_pid = deployment.processes['entry-1'].pid
             service = deployment.plan.services[0]
-            opened = 0
+            connections = await stack.enter_async_context(AsyncExitStack())
+            callers: list[Caller] = []
+            # Closed together: each one alone takes some round trips.
+            stack.callback(close_all, callers)
             rows.append(connection_row(agent_pid, entry_pid, 0, 0))
             for connection_count in (500, 1000, 1900):
                 started = time.monotonic()
-                while opened < connection_count:
-                    await open_batch(stack, service, opened)
-                    opened += OPEN_BATCH
-                rows.append(
-                    connection_row(
-                        agent_pid, entry_pid, opened, time.monotonic() - started
+                while len(callers) < connection_count:
+                    callers += await open_batch(
+                        connections, service, len(callers)
                     )
+                seconds = time.monotonic() - started
+                rows.append(
+                    connection_row(agent_pid, entry_pid, len(callers), seconds)
                 )
     return rows
 
 
 async def open_batch(
     stack: AsyncExitStack, service: ServicePlan, opened: int
-) -> None:
-    """Open some more connections.
+) -> list[Caller]:
+    """Open some more connections, which ``stack`` closes; return them.
 
     Raises :class:`TimeoutError` with the number of those that are open.
     """
     try:
         async with asyncio.timeout(OPEN_TIMEOUT_SECONDS):
-            await asyncio.gather(
+            return await asyncio.gather(
                 *(
                     open_caller(stack, service.host, service.port, 120)
                     for _ in range(OPEN_BATCH)
@@ -211,6 +214,12 @@
         ) from error
 
 
+def close_all(callers: list[Caller]) -> None:
+    """Begin to close all connections."""
+    for caller in callers:
+        caller.protocol.close()
+
+
 def connection_row(
     agent_pid: int, entry_pid: int, connections: int, seconds: float
 ) -> dict[str, float]:
