Repeat a lost query once for each packet of the caller

By reading: an agent that works off a storm sends messages all the time, so each query whose reply took over 60 ms was repeated again and again, for each flow and agent, and each tick copied all unanswered queries. Change: a query is repeated at most once for each packet of the caller, after 100 ms; a tick looks only at the oldest query of each agent; the median pace is computed once for a selection.

--- a/src/ragwortpost/datapath/connection/_unanswered_queries.py
+++ b/src/ragwortpost/datapath/connection/_unanswered_queries.py
@@ -14,7 +14,7 @@
 
 # Time for an agent to reply. A message of the agent that arrives sooner after
 # a query may have been sent before the query arrived.
-REPLY_TIMEOUT_SECONDS: Final = 0.06
+REPLY_TIMEOUT_SECONDS: Final = 0.1
 
 
 class UnansweredQueries:
@@ -55,9 +55,10 @@
         ``last_received_at`` is the monotonic time of the agent's last message,
         in seconds.
         """
-        queries = self._queried_at.get(agent, {})
-        for flow, queried_at in list(queries.items()):
-            if last_received_at - queried_at < REPLY_TIMEOUT_SECONDS:
+        queries = self._queried_at.get(agent)
+        while queries:
+            flow = next(iter(queries))
+            if last_received_at - queries[flow] < REPLY_TIMEOUT_SECONDS:
                 return
             self.remove(agent, flow)
             yield flow
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -135,7 +135,9 @@
                 lookup = self._lookups.get(flow)
                 if lookup is not None:
                     lookup.queried.discard(agent)
-                    self._query(lookup)
+                    # Not a third time before the caller's next packet: after a
+                    # mass restart, replies are late and not lost.
+                    self._query(lookup, repeatable=False)
 
     def _log_stalled(self, lookup: FlowLookup) -> None:
         unresponsive = sorted(lookup.queried - lookup.denied)
@@ -157,7 +159,7 @@
         if lookup.queried <= lookup.denied:
             self._query(lookup)
 
-    def _query(self, lookup: FlowLookup) -> None:
+    def _query(self, lookup: FlowLookup, *, repeatable: bool = True) -> None:
         """Query the agents that may hold a flow and were not queried yet.
 
         Reports the flow as not found once all agents that may hold it have
@@ -181,7 +183,8 @@
         lookup.queried.update(targets)
         now = self._clock.monotonic()
         for agent in targets:
-            self._unanswered.add(agent, flow, now)
+            if repeatable:
+                self._unanswered.add(agent, flow, now)
             if not lookup.queries_all:
                 self._ports.forward(
                     lookup.packet, agent, ForwardPurpose.RELAYABLE_LOOKUP
--- a/src/ragwortpost/datapath/process/_upstream_selector.py
+++ b/src/ragwortpost/datapath/process/_upstream_selector.py
@@ -44,6 +44,8 @@
     target: float
     # Whether its service also has less urgent routes.
     urgent: bool
+    # Median pace of the service's upstreams in seconds, zero if unknown.
+    median_pace: float
 
 
 class UpstreamSelector:
@@ -65,7 +67,9 @@
         """Return the upstream for a new flow of a service, if one has room."""
         fleet = self._state.fleet
         requirements = _Requirements(
-            fleet.routes[route_key_of(flow)].target, fleet.is_urgent(flow)
+            fleet.routes[route_key_of(flow)].target,
+            fleet.is_urgent(flow),
+            self._median_pace(service),
         )
         local, remote = [], []
         for upstream in fleet.upstreams.get(service, ()):
@@ -161,7 +165,7 @@
             slots=upstream.slots,
             warming_up=self._state.warm_up_left(upstream.ident) > 0,
             agent_unresponsive=self.is_unresponsive(upstream.host),
-            slowdown=slowdown(pace, self._median_pace(upstream.service)),
+            slowdown=slowdown(pace, requirements.median_pace),
             limit=limit,
         )
 
