After a restart let flows wait, and let arrivals join the queue

By reading: callers refused at once come back at once, and each new flow asks agent after agent while all are full. Change: in the first 10 s of an entry flows wait as before the burst policy, and while flows wait, new ones join their queue instead of asking agents at once.

--- a/src/ragwortpost/datapath/connection/_waiting_policy.py
+++ b/src/ragwortpost/datapath/connection/_waiting_policy.py
@@ -51,6 +51,9 @@
     seconds: float
     # Waiting flows that upstreams accept per second; none if it is not known.
     rate: float | None
+    # Whether a crowd returns after a mass restart: a caller that is refused
+    # then asks again at once, which costs more than its wait.
+    returning: bool = False
 
 
 class AdmissionRate:
@@ -115,6 +118,8 @@
     controlled delay (CoDel, RFC 8289).
     """
     longest = max_wait(limits)
+    if congestion.returning:
+        return waited >= longest
     useful = min(limits.target * TARGET_SHARE, longest)
     if congestion.seconds > LASTING_SECONDS:
         longest = useful
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -6,6 +6,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Final, TypeAlias
 
 from ragwortpost._datagrams import HostPort, SendDatagram
@@ -45,6 +46,8 @@
 ACCEPT_TIMEOUT_SECONDS: Final = 0.08
 # A longer time between two ticks shows that the process lacks CPU time.
 LATE_TICK_SECONDS: Final = 0.15
+# Time after the start of an entry in which callers return after a mass restart.
+RETURN_SECONDS: Final = 10.0
 # Reset reason of a flow that all its possible holders have denied.
 HELD_BY_NONE: Final = 'held by no upstream'
 
@@ -74,6 +77,8 @@
         self._last_packet_at = context.clock.monotonic()
         self._last_tick_at = self._last_packet_at
         self._pending = PendingFlows()
+        self._started_at = context.clock.monotonic()
+        self._queue_lengths: Counter[_QueueKey] = Counter()
         self._admission_rates: defaultdict[_QueueKey, AdmissionRate] = (
             defaultdict(AdmissionRate)
         )
@@ -195,6 +200,9 @@
             # Without any upstream, flows wait for one to start instead.
             congested = waiting[key] > 0 and self._selector.has_upstream(key[0])
             rate.set_congested(now, congested=congested)
+        # Flows that arrive until the next tick join the queues: asking agents
+        # for each of them costs too much in the crowd after a mass restart.
+        self._queue_lengths = waiting
 
     def _queue_of(self, flow: FlowKey) -> _QueueKey:
         """Return the key of the waiting flows that a flow competes with."""
@@ -229,7 +237,9 @@
         pending = self._pending.get(packet.flow)
         if pending is None:
             now = self._clock.monotonic()
-            self._assign(self._pending.add(packet, now))
+            added = self._pending.add(packet, now)
+            if not self._queue_lengths[self._queue_of(packet.flow)]:
+                self._assign(added)
         elif not self._pending.is_waiting(packet.flow):
             self._forward(packet, pending.tried[-1], ForwardPurpose.NEW_FLOW)
 
@@ -258,7 +268,10 @@
         flow = pending.packet.flow
         route = self._state.fleet.routes[route_key_of(flow)]
         queue = self._queue_of(flow)
-        congestion = self._admission_rates[queue].congestion(now)
+        congestion = replace(
+            self._admission_rates[queue].congestion(now),
+            returning=now - self._started_at < RETURN_SECONDS,
+        )
         waited = now - pending.started_at
         limits = WaitLimits(route.timeout, route.target)
         if not should_refuse(limits, waited, ahead, congestion):
