Messages for inventories of agents and for room that agents grant

This adds the four messages (numbers 15 to 18) and their layouts; no process sends them yet. Round trips, truncated and mutated datagrams are covered by the tests of the other messages.

--- a/src/ragwortpost/datapath/process/_codec.py
+++ b/src/ragwortpost/datapath/process/_codec.py
@@ -16,6 +16,10 @@
 from msgspec.msgpack import encode as encode_fields
 
 from ragwortpost.datapath.connection import FLOW_KEY_BYTES, FlowKey
+from ragwortpost.datapath.process._fixed_layouts import (
+    FIXED_DECODERS,
+    encode_fixed,
+)
 from ragwortpost.datapath.process._messages import (
     Digest,
     FlowQuery,
@@ -24,8 +28,12 @@
     ForwardOutcome,
     ForwardPurpose,
     ForwardReply,
+    Inventory,
+    InventoryQuery,
     Message,
     Registration,
+    RoomDemand,
+    RoomGrant,
 )
 from ragwortpost.datapath.version import (
     Changes,
@@ -111,10 +119,16 @@
                 flow,
             )
             return header + raw
-        case Digest():
-            return bytes((_DIGEST,)) + encode_fields(astuple(message))
-        case Changes():
-            return bytes((_CHANGES,)) + encode_changes(message)
+        case InventoryQuery() | Inventory() | RoomDemand() | RoomGrant():
+            return encode_fixed(message)
+        case Digest() | Changes():
+            return _encode_gossip(message)
+
+
+def _encode_gossip(message: Digest | Changes) -> bytes:
+    if isinstance(message, Digest):
+        return bytes((_DIGEST,)) + encode_fields(astuple(message))
+    return bytes((_CHANGES,)) + encode_changes(message)
 
 
 def decode(datagram: bytes) -> Message | None:
@@ -191,6 +205,7 @@
             _REGISTRATION: _decode_registration,
             _FLOW_QUERY: _decode_flow_query,
             _FLOW_QUERY_REPLY: _decode_flow_query_reply,
+            **FIXED_DECODERS,
         }
     )
 )
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -108,6 +108,67 @@
     pace_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class InventoryQuery:
+    """Queries an agent for all flows that its upstream holds."""
+
+    # The service that the flows looked up lead to.
+    service: ServiceTag
+    # Identifies the query among those of one entry.
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """One part of an agent's reply to :class:`InventoryQuery`."""
+
+    # The number of the query.
+    number: int
+    # Requests that await the upstream's response, and first requests expected
+    # soon.
+    load: int
+    # Milliseconds that the upstream takes for each request, zero if unknown.
+    pace_ms: int
+    # Whether the upstream holds no other flows; else it may hold flows from
+    # before the start of its agent.
+    complete: bool
+    # Index of this part and number of all parts; no parts if the upstream holds
+    # too many flows for an inventory.
+    part: int
+    parts: int
+    # Hashes of the held flows, each of 32 bits.
+    flow_hashes: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RoomDemand:
+    """Sent by an entry to an agent: flows that wait for an upstream."""
+
+    # The service that the flows lead to.
+    service: ServiceTag
+    # Number of waiting flows; zero withdraws an earlier demand.
+    waiting: int
+    # The most urgent priority among them.
+    priority: int
+    # Milliseconds until the earliest of their deadlines.
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoomGrant:
+    """Sent by an agent to an entry: room for new flows of its upstream."""
+
+    # Number of new flows that the agent will admit from the entry.
+    flows: int
+    # Milliseconds after which the agent gives the room to others.
+    lifetime_ms: int
+    # Requests that await the upstream's response, and first requests expected
+    # soon.
+    load: int
+    # Milliseconds that the upstream takes for each request, zero if unknown.
+    pace_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Digest:
     """Periodic status message of a process, sent by gossip."""
@@ -143,6 +204,10 @@
     | Registration
     | FlowQuery
     | FlowQueryReply
+    | InventoryQuery
+    | Inventory
+    | RoomDemand
+    | RoomGrant
     | Digest
     | Changes
 )
--- a/src/ragwortpost/datapath/process/tests/test_codec.py
+++ b/src/ragwortpost/datapath/process/tests/test_codec.py
@@ -26,8 +26,12 @@
     ForwardOutcome,
     ForwardPurpose,
     ForwardReply,
+    Inventory,
+    InventoryQuery,
     Message,
     Registration,
+    RoomDemand,
+    RoomGrant,
 )
 from ragwortpost.datapath.version import Changes, Record
 
@@ -44,6 +48,11 @@
     FlowQuery(77, ()),
     FlowQueryReply(300, FLOWS[:2], FLOWS[2:]),
     FlowQueryReply(0, (), FLOWS),
+    InventoryQuery(2**64 - 1, 2**32 - 1),
+    Inventory(7, 300, 25, True, 1, 2, (0, 5, 2**32 - 1)),
+    Inventory(7, 0, 0, False, 0, 0, ()),
+    RoomDemand(77, 300, 2, 1200),
+    RoomGrant(4, 150, 3, 25),
     DIGEST,
     Changes(3, 4, (Record('upstream/a', 4, None),)),
 )
