Search for many flows' holders by inventories of agents

After a mass restart, each lookup that registrars can't answer queries every agent, and each reply is handled per flow: flows times agents. The pure parts of the replacement: watermarks of the inventories requested from each agent, the assembly of their parts, the search that tells which lookups all possible holders have denied, and the agent's deferral of answers until it knows whether its upstream started with it. Nothing uses them yet.

FlowLookups takes overdue and stalled lookups from queues of their own, so that a tick does not walk over all lookups.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -12,6 +12,7 @@
     AdmissionInputs,
     Refusal,
 )
+from ragwortpost.datapath.connection._answer_deferral import AnswerDeferral
 from ragwortpost.datapath.connection._flow_cache import FlowCache
 from ragwortpost.datapath.connection._flow_lookups import (
     DIRECT_QUERY_LIMIT,
@@ -24,6 +25,18 @@
     HeldFlows,
     Ownership,
 )
+from ragwortpost.datapath.connection._holder_search import (
+    HolderSearch,
+    PossibleHolders,
+)
+from ragwortpost.datapath.connection._inventories import (
+    MAX_INVENTORY_FLOWS,
+    flow_hash,
+)
+from ragwortpost.datapath.connection._inventory_watermarks import (
+    Denials,
+    InventoryPart,
+)
 from ragwortpost.datapath.connection._packet import (
     FLOW_KEY_BYTES,
     SEQUENCE_MODULUS,
@@ -75,24 +88,30 @@
 __all__ = [
     'DIRECT_QUERY_LIMIT',
     'FLOW_KEY_BYTES',
+    'MAX_INVENTORY_FLOWS',
     'SEQUENCE_MODULUS',
     'Admission',
     'AdmissionRate',
     'AdmissionInputs',
+    'AnswerDeferral',
     'Candidate',
     'Congestion',
+    'Denials',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
     'FlowLookups',
     'HeldFlow',
     'HeldFlows',
+    'HolderSearch',
+    'InventoryPart',
     'OutgoingQuery',
     'Ownership',
     'Packet',
     'PacketFormat',
     'PendingFlow',
     'PendingFlows',
+    'PossibleHolders',
     'QueryBatcher',
     'Refusal',
     'RegistrationQueue',
@@ -105,6 +124,7 @@
     'agents_to_query',
     'backlog_limit',
     'caller_address',
+    'flow_hash',
     'format_flow',
     'load_score',
     'max_wait',
--- a/src/ragwortpost/datapath/connection/_flow_lookups.py
+++ b/src/ragwortpost/datapath/connection/_flow_lookups.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Collection, Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from ragwortpost.datapath.connection._packet import FlowKey, Packet
@@ -34,8 +34,14 @@
     started_at: float
     # Whether all agents are queried, not only the registrars.
     queries_all: bool = False
-    # Whether the missing replies were already logged.
-    stall_reported: bool = False
+    # The service whose agents' inventories it awaits; empty if it awaits none.
+    service: str = ''
+    # Order of its start among the lookups that await inventories, and its
+    # position in the queue of those.
+    began: int = 0
+    position: int = 0
+    # Agents whose inventories have listed the flow since then.
+    listed_by: set[str] = field(default_factory=set)
 
 
 class FlowLookups:
@@ -44,6 +50,10 @@
     def __init__(self) -> None:
         """Start empty."""
         self._lookups: dict[FlowKey, FlowLookup] = {}
+        # Lookups that query only registrars as far as known, and those whose
+        # missing replies were not reported.
+        self._narrow: dict[FlowKey, FlowLookup] = {}
+        self._unreported: dict[FlowKey, FlowLookup] = {}
 
     def __len__(self) -> int:
         """Return the number of lookups."""
@@ -61,31 +71,30 @@
         lookup = self._lookups.get(packet.flow)
         if lookup is None:
             lookup = FlowLookup(packet, set(), set(), now)
-            self._lookups[packet.flow] = lookup
+            for queue in (self._lookups, self._narrow, self._unreported):
+                queue[packet.flow] = lookup
         lookup.packet = packet
         lookup.queried.clear()
         return lookup
 
     def remove(self, flow: FlowKey) -> FlowLookup | None:
         """Remove and return the lookup of a flow."""
+        self._narrow.pop(flow, None)
+        self._unreported.pop(flow, None)
         return self._lookups.pop(flow, None)
 
     def overdue(self, before: float) -> Iterator[FlowLookup]:
-        """Yield lookups that query only registrars and began before a time."""
-        for lookup in list(self._lookups.values()):
-            if lookup.started_at >= before:
-                return
+        """Yield, once each, lookups that began before a time.
+
+        Those that query more than registrars already are left out.
+        """
+        for lookup in _pop_started_before(self._narrow, before):
             if not lookup.queries_all:
                 yield lookup
 
     def stalled(self, before: float) -> Iterator[FlowLookup]:
         """Yield, once each, the lookups that started before a time."""
-        for lookup in self._lookups.values():
-            if lookup.started_at >= before:
-                return
-            if not lookup.stall_reported:
-                lookup.stall_reported = True
-                yield lookup
+        return _pop_started_before(self._unreported, before)
 
     def expire(self, now: float) -> Sequence[FlowLookup]:
         """Remove and return the lookups that have timed out."""
@@ -95,10 +104,22 @@
                 break
             expired.append(lookup)
         for timed_out in expired:
-            self._lookups.pop(timed_out.packet.flow)
+            self.remove(timed_out.packet.flow)
         return expired
 
 
+def _pop_started_before(
+    queue: dict[FlowKey, FlowLookup], before: float
+) -> Iterator[FlowLookup]:
+    """Remove and yield the lookups of a queue that started before a time."""
+    while queue:
+        flow, lookup = next(iter(queue.items()))
+        if lookup.started_at >= before:
+            return
+        queue.pop(flow)
+        yield lookup
+
+
 def agents_to_query(
     lookup: FlowLookup,
     registrars: Collection[str],
