Answer lookups by inventories of agents

An entry sent a query to every agent for each flow that its registrars did not know, and handled every agent's reply for every flow. After a mass restart that took most of the processor time of a small entry.

Where a service has more than eight agents, the entry now requests the agents' inventories, each at most once in 40 ms for all lookups together, and decides once per tick which lookups all possible holders have denied. An agent that is incomplete or has too many flows is still queried by naming flows. An agent that does not know yet whether its upstream started with it defers its answer for at most a second after its start. The possible holders of all services are derived once per tick or change of the view. Replies to queries now also carry the pace into the directory; it was reset to zero before.

test_flow_held_by_no_upstream_is_reset of a large fleet now lets one tick pass, since denials are evaluated per tick; it also checks that no upstream was reached. search_stalled reports at most 20 lookups per tick.

--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from ragwortpost.datapath.connection._expected_requests import ExpectedRequests
+from ragwortpost.datapath.connection._inventories import flow_hash
 from ragwortpost.datapath.connection._packet import (
     SEQUENCE_MODULUS,
     FlowKey,
@@ -50,6 +51,8 @@
     # The upstream's first sequence number; none once the caller has
     # acknowledged it.
     handshake_sequence: int | None
+    # The hash that stands for the flow in inventories.
+    flow_hash: int
     # Whether a request was sent and its response has not started.
     awaits_response: bool = False
     # Monotonic seconds of the last packet of that request.
@@ -84,6 +87,16 @@
         self._awaiting_response = 0
         self._pace = ServicePace()
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the upstream holds no flows that are not recorded."""
+        return self._complete
+
+    @property
+    def flow_hashes(self) -> list[int]:
+        """Hashes of all held flows."""
+        return [held.flow_hash for held in self._flows.values()]
+
     def load(self, now: float) -> int:
         """Return the number of requests in progress and of expected ones."""
         return self._awaiting_response + self._expected_requests.count(now)
@@ -136,7 +149,9 @@
         self._returned_at.pop(packet.flow, None)
         if held is None:
             handshake_sequence = packet.sequence if packet.accepts else None
-            self._flows[packet.flow] = HeldFlow(now, handshake_sequence)
+            self._flows[packet.flow] = HeldFlow(
+                now, handshake_sequence, flow_hash(packet.flow)
+            )
             if handshake_sequence is not None:
                 self._expected_requests.add(packet.flow, now)
             return True
--- a/src/ragwortpost/datapath/connection/_unconfirmed_packets.py
+++ b/src/ragwortpost/datapath/connection/_unconfirmed_packets.py
@@ -33,6 +33,11 @@
         """Return whether a packet of a flow awaits its outcome."""
         return flow in self._deliveries
 
+    @property
+    def flows(self) -> tuple[FlowKey, ...]:
+        """The flows whose packets await their outcome."""
+        return tuple(self._deliveries)
+
     def add(self, flow: FlowKey, entry: str, now: float) -> None:
         """Record a delivery and the entry that waits for its outcome."""
         entries = self.pop(flow)
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime, timedelta
 from typing import Final
@@ -21,28 +20,33 @@
     Packet,
     PacketFormat,
     Refusal,
-    RegistrationQueue,
     UnconfirmedPackets,
     UpstreamLiveness,
     backlog_limit,
     caller_address,
-    registrars_of,
     route_key_of,
 )
-from ragwortpost.datapath.process._codec import batch_flows, encode
+from ragwortpost.datapath.process._codec import encode
+from ragwortpost.datapath.process._flow_registrations import (
+    FlowRegistrations,
+)
 from ragwortpost.datapath.process._messages import (
-    FlowQuery,
-    FlowQueryReply,
     Forward,
     ForwardOutcome,
     ForwardPurpose,
     ForwardReply,
+    Message,
     Registration,
     ServiceTag,
     service_tag,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._node_settings import UpstreamSide
+from ragwortpost.datapath.process._query_responder import (
+    AgentFlows,
+    LookupQuery,
+    QueryResponder,
+)
 
 # A held flow without packets for this time is removed. Exceeds the idle limit
 # of the configuration, so that no flow is removed that may still be in use.
@@ -85,7 +89,14 @@
         self._admission = Admission()
         self._upstream_liveness = UpstreamLiveness()
         self._unconfirmed = UnconfirmedPackets()
-        self._registration_queue = RegistrationQueue()
+        self._query_responder = QueryResponder(
+            context,
+            AgentFlows(self._held_flows, self._unconfirmed, self._may_hold),
+            self._send_message,
+        )
+        self._registrations = FlowRegistrations(
+            context, side.service, self._held_flows, self._send_message
+        )
         now = context.clock.monotonic()
         self._registered = FlowCache(now, REGISTRATION_SECONDS)
         self._last_sweep = now
@@ -164,25 +175,9 @@
         for flow in registration.flows:
             self._registered.put(flow, holder)
 
-    def receive_query(self, query: FlowQuery, entry: str) -> None:
-        """Reply which of the queried flows the upstream may hold."""
-        may_hold = self._may_hold(query.service)
-        denied, possibly_held = [], []
-        for flow in query.flows:
-            match self._held_flows.ownership_of(flow):
-                case Ownership.NOT_HELD:
-                    denied.append(flow)
-                case Ownership.UNKNOWN if not may_hold:
-                    denied.append(flow)
-                case _:
-                    possibly_held.append(flow)
-        self._events['not_held'] += len(denied)
-        reply = FlowQueryReply(
-            self.load, tuple(denied), tuple(possibly_held), self.pace_ms
-        )
-        if self._send_to_peer is not None:
-            address = (entry, self._settings.peer_port)
-            self._send_to_peer(encode(reply), address)
+    def receive_query(self, query: LookupQuery, entry: str) -> None:
+        """Reply which flows the upstream holds or may hold."""
+        self._query_responder.receive(query, entry)
 
     def receive_outbound(self, raw: bytes, _: HostPort) -> None:
         """Handle a packet that the upstream sends or returns."""
@@ -206,7 +201,8 @@
             self._last_sweep = now
             self._held_flows.expire(now)
         self._registered.expire(now)
-        self._register_flows(now)
+        self._query_responder.answer_due()
+        self._registrations.tick(now)
         if self._is_upstream_gone():
             self._deny_unconfirmed()
         self._unconfirmed.expire(now)
@@ -242,6 +238,13 @@
         started_at = datetime.fromtimestamp(upstream.born / _MS, UTC)
         if started_at > self._started_at - MIN_RESTART_GAP:
             self._held_flows.mark_complete()
+        self._query_responder.decide()
+
+    def _send_message(self, message: Message, host: str) -> None:
+        if self._send_to_peer is not None:
+            self._send_to_peer(
+                encode(message), (host, self._settings.peer_port)
+            )
 
     def _relay_or_deny(
         self,
@@ -253,34 +256,14 @@
         holder = None
         if forward.purpose is ForwardPurpose.RELAYABLE_LOOKUP:
             holder = self._registered.get(packet.flow)
-        if holder is None or self._send_to_peer is None:
+        if holder is None:
             self._deny(forward.purpose, packet, entry)
             return
         self._events['passed_to_holder'] += 1
         relayed = Forward(
             ForwardPurpose.LOOKUP, forward.service, packet.raw, entry
         )
-        self._send_to_peer(encode(relayed), (holder, self._settings.peer_port))
-
-    def _register_flows(self, now: float) -> None:
-        """Send the registrations of flows that are due."""
-        upstreams = self._state.fleet.upstreams.get(
-            self._upstream_side.service, ()
-        )
-        hosts = [upstream.host for upstream in upstreams]
-        flows = defaultdict(list)
-        for flow in self._registration_queue.pop_due(now):
-            if self._held_flows.get(flow) is not None:
-                for host in registrars_of(flow, hosts):
-                    flows[host].append(flow)
-        flows.pop(self._settings.host, None)
-        for host, registered in flows.items():
-            for batch in batch_flows(registered):
-                if self._send_to_peer is not None:
-                    message = encode(Registration(batch))
-                    self._send_to_peer(
-                        message, (host, self._settings.peer_port)
-                    )
+        self._send_message(relayed, holder)
 
     def _admit_flow(
         self,
@@ -357,7 +340,7 @@
                 self._deny(ForwardPurpose.LOOKUP, packet, waiting_entry)
             return
         if self._held_flows.on_upstream_packet(packet, now):
-            self._registration_queue.add(packet.flow, now)
+            self._registrations.add(packet.flow, now)
         if self._send_outbound is not None:
             caller = (caller_address(packet.flow), self._settings.packet_port)
             self._send_outbound(packet.raw, caller)
@@ -418,11 +401,9 @@
         entry: str,
         raw: bytes = b'',
     ) -> None:
-        if self._send_to_peer is None:
-            return
         load, revision = self.load, self._state.revision
         reply = ForwardReply(outcome, load, revision, flow, raw, self.pace_ms)
-        self._send_to_peer(encode(reply), (entry, self._settings.peer_port))
+        self._send_message(reply, entry)
 
     def _deliver(self, packet: Packet) -> None:
         if self._send_outbound is not None:
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -29,6 +29,7 @@
     FlowLocator,
     FlowLocatorPorts,
 )
+from ragwortpost.datapath.process._inventory_searches import InventoryRequest
 from ragwortpost.datapath.process._messages import (
     FlowQuery,
     FlowQueryReply,
@@ -36,6 +37,8 @@
     ForwardOutcome,
     ForwardPurpose,
     ForwardReply,
+    Inventory,
+    InventoryQuery,
     service_tag,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
@@ -132,13 +135,15 @@
 
     def receive_query_reply(
         self,
-        reply: FlowQueryReply,
+        reply: FlowQueryReply | Inventory,
         agent: str,
     ) -> None:
-        """Handle an agent's reply to a flow query."""
+        """Handle an agent's reply to a query about flows."""
         now = self._clock.monotonic()
         self._directory.record_activity(agent, now)
-        self._directory.record_load(agent, reply.load, now)
+        self._directory.record_load(
+            agent, reply.load, now, pace_ms=reply.pace_ms
+        )
         self._locator.receive_query_reply(reply, agent)
 
     def tick(self) -> None:
@@ -337,10 +342,14 @@
             address = (agent, self._settings.peer_port)
             self._send_to_peer(encode(message), address)
 
-    def _send_query(self, query: OutgoingQuery) -> None:
+    def _send_query(self, query: OutgoingQuery | InventoryRequest) -> None:
         if self._send_to_peer is None:
             return
         tag = service_tag(query.service)
         address = (query.agent, self._settings.peer_port)
+        if isinstance(query, InventoryRequest):
+            request = InventoryQuery(tag, query.number)
+            self._send_to_peer(encode(request), address)
+            return
         for flows in batch_flows(query.flows):
             self._send_to_peer(encode(FlowQuery(tag, flows)), address)
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -1,7 +1,13 @@
-"""Lookups of the agents that hold flows which are not in an entry's cache."""
+"""Lookups of the agents that hold flows which are not in an entry's cache.
+
+Of few agents, all are queried at once with the packet itself. Of many, a flow's
+registrars are queried with the packet, and then inventories of all agents are
+requested, which answer for all lookups together.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import islice
 from typing import Final
 
 from ragwortpost.datapath.connection import (
@@ -15,11 +21,18 @@
     UnansweredQueries,
     agents_to_query,
 )
+from ragwortpost.datapath.process._inventory_searches import (
+    InventoryRequest,
+    InventorySearches,
+    SearchPorts,
+)
 from ragwortpost.datapath.process._messages import (
     FlowQueryReply,
     ForwardPurpose,
+    Inventory,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
+from ragwortpost.datapath.process._possible_holders import HolderDirectory
 from ragwortpost.datapath.process._upstream_selector import UpstreamSelector
 
 # Time for registrars to relay a packet to its flow's holder, before all agents
@@ -30,6 +43,8 @@
 STALLED_SECONDS: Final = 0.3
 # Maximum unresponsive agents listed in the log line of a stalled lookup.
 MAX_LOGGED_AGENTS: Final = 5
+# Maximum stalled lookups that one tick reports; later ticks report the others.
+MAX_STALLED_PER_TICK: Final = 20
 
 
 @dataclass(frozen=True)
@@ -38,8 +53,8 @@
 
     # Forwards a caller's packet to an agent.
     forward: Callable[[Packet, str, ForwardPurpose], None]
-    # Sends an agent a query about one or more flows.
-    send_query: Callable[[OutgoingQuery], None]
+    # Queries an agent for one or more flows, or for all that it holds.
+    send_query: Callable[[OutgoingQuery | InventoryRequest], None]
     # Handles a packet whose flow no upstream holds.
     on_not_found: Callable[[Packet], None]
 
@@ -59,11 +74,16 @@
         self._directory = context.directory
         self._log = context.log
         self._events = context.metrics.events
-        self._selector = selector
+        self._holders = HolderDirectory(context, selector)
         self._ports = ports
         self._lookups = FlowLookups()
         self._query_batcher = QueryBatcher()
         self._unanswered = UnansweredQueries()
+        self._searches = InventorySearches(
+            context,
+            self._holders,
+            SearchPorts(ports.send_query, self._name_flow),
+        )
 
     def __len__(self) -> int:
         """Return the number of lookups in progress."""
@@ -76,6 +96,7 @@
         if previous is not None:
             # All agents that have not denied the flow are queried again.
             self._discard_queries(previous)
+            self._searches.remove(previous)
         lookup = self._lookups.start(packet, self._clock.monotonic())
         lookup.denied.update(denied_by)
         self._query(lookup)
@@ -90,8 +111,14 @@
         self._record_denial(flow, agent)
         self._send_queries()
 
-    def receive_query_reply(self, reply: FlowQueryReply, agent: str) -> None:
+    def receive_query_reply(
+        self, reply: FlowQueryReply | Inventory, agent: str
+    ) -> None:
         """Forward packets of flows that the agent may hold; record denials."""
+        if isinstance(reply, Inventory):
+            for listed in self._searches.receive(reply, agent):
+                self._forward_listed(listed, agent)
+            return
         for flow in reply.possibly_held:
             self._unanswered.remove(agent, flow)
             lookup = self._lookups.get(flow)
@@ -108,16 +135,23 @@
         for lookup in self._lookups.overdue(now - REGISTRAR_TIMEOUT_SECONDS):
             lookup.queries_all = True
             self._query(lookup)
+        self._searches.run_rounds()
         self._send_queries()
-        for stalled in self._lookups.stalled(now - STALLED_SECONDS):
-            self._log_stalled(stalled)
+        for denied in self._searches.pop_denied():
+            self._end(denied.packet.flow)
+            self._ports.on_not_found(denied.packet)
+        stalled = self._lookups.stalled(now - STALLED_SECONDS)
+        for reported in islice(stalled, MAX_STALLED_PER_TICK):
+            self._log_stalled(reported)
         for expired in self._lookups.expire(now):
             self._discard_queries(expired)
+            self._searches.remove(expired)
 
     def _end(self, flow: FlowKey) -> FlowLookup | None:
         lookup = self._lookups.remove(flow)
         if lookup is not None:
             self._discard_queries(lookup)
+            self._searches.remove(lookup)
         return lookup
 
     def _discard_queries(self, lookup: FlowLookup) -> None:
@@ -134,13 +168,25 @@
             for flow in self._unanswered.pop_lost(agent, received_at):
                 lookup = self._lookups.get(flow)
                 if lookup is not None:
-                    lookup.queried.discard(agent)
                     # Not a third time before the caller's next packet: after a
                     # mass restart, replies are late and not lost.
-                    self._query(lookup, repeatable=False)
+                    self._repeat_query(lookup, agent)
+
+    def _repeat_query(self, lookup: FlowLookup, agent: str) -> None:
+        if not lookup.service:
+            lookup.queried.discard(agent)
+            self._query(lookup, repeatable=False)
+        elif self._searches.names_flows(lookup, agent):
+            flow = lookup.packet.flow
+            self._query_batcher.add(agent, lookup.service, flow)
+        else:
+            self._ports.forward(lookup.packet, agent, ForwardPurpose.LOOKUP)
 
     def _log_stalled(self, lookup: FlowLookup) -> None:
-        unresponsive = sorted(lookup.queried - lookup.denied)
+        if lookup.service:
+            unresponsive = sorted(self._searches.missing(lookup))
+        else:
+            unresponsive = sorted(lookup.queried - lookup.denied)
         self._log.write_flow(
             'search_stalled',
             lookup.packet.flow,
@@ -155,6 +201,10 @@
         lookup = self._lookups.get(flow)
         if lookup is None:
             return
+        if lookup.service:
+            # The next tick decides whether all agents have denied the flow.
+            self._searches.record_denial(lookup, agent)
+            return
         lookup.denied.add(agent)
         if lookup.queried <= lookup.denied:
             self._query(lookup)
@@ -169,30 +219,63 @@
         service = self._state.fleet.service_of(flow)
         if service is None:
             return
-        holders = self._selector.possible_holders(service)
+        holders = self._holders.possible_holders(service)
+        if lookup.queries_all and len(holders.own) > DIRECT_QUERY_LIMIT:
+            self._request_inventories(lookup, service)
+            return
         remaining = agents_to_query(
             lookup,
-            self._selector.registrars(service, flow),
-            holders,
-            self._selector.other_service_holders(service),
+            self._holders.registrars(service, flow),
+            holders.own,
+            holders.others,
         )
-        if holders and not remaining:
+        if lookup.queries_all and len(remaining) > DIRECT_QUERY_LIMIT:
+            self._request_inventories(lookup, service)
+            return
+        if holders.own and not remaining:
             self._end(flow)
             self._ports.on_not_found(lookup.packet)
-        targets = [agent for agent in remaining if agent not in lookup.queried]
-        lookup.queried.update(targets)
-        now = self._clock.monotonic()
-        for agent in targets:
-            if repeatable:
-                self._unanswered.add(agent, flow, now)
-            if not lookup.queries_all:
-                self._ports.forward(
-                    lookup.packet, agent, ForwardPurpose.RELAYABLE_LOOKUP
-                )
-            elif len(targets) <= DIRECT_QUERY_LIMIT:
-                self._ports.forward(lookup.packet, agent, ForwardPurpose.LOOKUP)
-            else:
-                self._query_batcher.add(agent, service, flow)
+        for agent in remaining:
+            if agent not in lookup.queried:
+                self._query_directly(lookup, agent, repeatable=repeatable)
+
+    def _query_directly(
+        self, lookup: FlowLookup, agent: str, *, repeatable: bool
+    ) -> None:
+        """Query an agent with the packet itself."""
+        lookup.queried.add(agent)
+        if repeatable:
+            now = self._clock.monotonic()
+            self._unanswered.add(agent, lookup.packet.flow, now)
+        purpose = ForwardPurpose.LOOKUP
+        if not lookup.queries_all:
+            purpose = ForwardPurpose.RELAYABLE_LOOKUP
+        self._ports.forward(lookup.packet, agent, purpose)
+
+    def _request_inventories(self, lookup: FlowLookup, service: str) -> None:
+        """Let the inventories of all agents answer a lookup."""
+        # An agent that registrars relay the packet to gets it again if its
+        # inventory lists the flow: their relayed packet may be lost.
+        self._discard_queries(lookup)
+        lookup.queried.clear()
+        previous_listers = lookup.listed_by - lookup.denied
+        self._searches.add(lookup, service)
+        for agent in previous_listers:
+            self._forward_listed(lookup, agent)
+
+    def _forward_listed(self, lookup: FlowLookup, agent: str) -> None:
+        """Forward a packet to an agent that listed the hash of its flow."""
+        lookup.listed_by.add(agent)
+        if agent not in lookup.queried:
+            lookup.denied.discard(agent)
+            self._query_directly(lookup, agent, repeatable=True)
+
+    def _name_flow(self, agent: str, lookup: FlowLookup) -> None:
+        """Query an agent whose inventory denies nothing for a flow."""
+        flow = lookup.packet.flow
+        lookup.queried.add(agent)
+        self._unanswered.add(agent, flow, self._clock.monotonic())
+        self._query_batcher.add(agent, lookup.service, flow)
 
     def _send_queries(self) -> None:
         for query in self._query_batcher.pop_due(self._clock.monotonic()):
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -24,6 +24,8 @@
     FlowQueryReply,
     Forward,
     ForwardReply,
+    Inventory,
+    InventoryQuery,
     Registration,
 )
 from ragwortpost.datapath.process._node_context import make_context
@@ -256,9 +258,13 @@
                 self._agent.receive_forward(forward, host)
             case Registration() as registration if self._agent is not None:
                 self._agent.receive_registration(registration, host)
-            case FlowQuery() as query if self._agent is not None:
+            case (FlowQuery() | InventoryQuery()) as query if (
+                self._agent is not None
+            ):
                 self._agent.receive_query(query, host)
-            case FlowQueryReply() as query_reply if self._entry is not None:
+            case (FlowQueryReply() | Inventory()) as query_reply if (
+                self._entry is not None
+            ):
                 self._entry.receive_query_reply(query_reply, host)
             case ForwardReply() as reply if self._entry is not None:
                 self._entry.receive_forward_reply(reply, host)
--- /dev/null
+++ b/src/ragwortpost/datapath/process/_possible_holders.py
@@ -0,0 +1,132 @@
+"""The agents that may hold flows, derived from the view and the directory."""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from ragwortpost.datapath.connection import (
+    FlowKey,
+    PossibleHolders,
+    registrars_of,
+)
+from ragwortpost.datapath.process._node_context import NodeContext
+from ragwortpost.datapath.process._node_settings import NodeRole
+from ragwortpost.datapath.process._peer_directory import Peer
+from ragwortpost.datapath.process._upstream_selector import UpstreamSelector
+from ragwortpost.datapath.version import EMPTY_INDEX, FleetIndex, UpstreamEntry
+
+# An agent that the view does not list, or whose upstream has lapsed, is assumed
+# to have stopped with its upstream after this time without a digest or reply:
+# the view may be outdated.
+HOLDER_TIMEOUT_SECONDS: Final = 2.0
+# The same time for an agent that a fresh view does not list. A new upstream
+# takes at most this long to appear in all views.
+UNLISTED_HOLDER_TIMEOUT_SECONDS: Final = 0.5
+# Time for which derived data is used while the view and the set of peers stay
+# the same: an agent becomes unresponsive without an event. It is the interval
+# of ticks.
+MAX_AGE_SECONDS: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class _Derived:
+    """Data derived from one state of the view and the directory."""
+
+    # What it is derived from.
+    fleet: FleetIndex
+    peers: int
+    derived_at: float
+    # Possible holders of each service's flows, without those of others.
+    hosts: Mapping[str, Mapping[str, None]]
+    # Results for the services that were asked about.
+    holders: dict[str, PossibleHolders] = field(default_factory=dict)
+
+
+class HolderDirectory:
+    """Possible holders and registrars of each service's flows.
+
+    No call iterates over all upstreams or peers unless the view or the peers
+    have changed or a tick has passed.
+    """
+
+    def __init__(
+        self, context: NodeContext, selector: UpstreamSelector
+    ) -> None:
+        """Initialize with the view and the peer directory of a process."""
+        self._clock = context.clock
+        self._state = context.state
+        self._directory = context.directory
+        self._selector = selector
+        self._derived = _Derived(EMPTY_INDEX, 0, 0, {})
+        self._registrar_hosts: dict[str, tuple[str, ...]] = {}
+        self._registrar_fleet = EMPTY_INDEX
+
+    def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
+        """Return the agents that a flow of a service is registered with."""
+        fleet = self._state.fleet
+        if fleet is not self._registrar_fleet:
+            self._registrar_fleet = fleet
+            self._registrar_hosts = {
+                name: tuple(upstream.host for upstream in upstreams)
+                for name, upstreams in fleet.upstreams.items()
+            }
+        return registrars_of(flow, self._registrar_hosts.get(service, ()))
+
+    def possible_holders(self, service: str) -> PossibleHolders:
+        """Return all agents that may hold flows of a service."""
+        derived = self._current()
+        holders = derived.holders.get(service)
+        if holders is None:
+            own = derived.hosts.get(service, {})
+            others = {
+                host: None
+                for hosts in derived.hosts.values()
+                for host in hosts
+                if host not in own
+            }
+            holders = PossibleHolders(tuple(own), tuple(others))
+            derived.holders[service] = holders
+        return holders
+
+    def _current(self) -> _Derived:
+        derived = self._derived
+        now = self._clock.monotonic()
+        if (
+            derived.fleet is not self._state.fleet
+            or derived.peers != len(self._directory.peers)
+            or not 0 <= now - derived.derived_at < MAX_AGE_SECONDS
+        ):
+            derived = self._derive(now)
+            self._derived = derived
+        return derived
+
+    def _derive(self, now: float) -> _Derived:
+        fleet = self._state.fleet
+        hosts: defaultdict[str, dict[str, None]] = defaultdict(dict)
+        for service, upstreams in fleet.upstreams.items():
+            for upstream in upstreams:
+                if not self._is_lapsed_and_unresponsive(upstream):
+                    hosts[service][upstream.host] = None
+        peers = self._directory.peers
+        listed = fleet.upstreams_by_host if self._state.is_fresh else peers
+        for host, peer in peers.items():
+            if _is_live_agent(peer, now, unlisted=host not in listed):
+                hosts[peer.digest.service][host] = None
+        return _Derived(fleet, len(peers), now, hosts)
+
+    def _is_lapsed_and_unresponsive(self, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream lapsed and its agent is unresponsive."""
+        if not self._state.is_lapsed(upstream.ident):
+            return False
+        return self._selector.is_unresponsive(upstream.host)
+
+
+def _is_live_agent(peer: Peer, now: float, *, unlisted: bool) -> bool:
+    """Return whether a peer is a responsive agent."""
+    if peer.digest.role != NodeRole.AGENT.value:
+        return False
+    timeout = (
+        UNLISTED_HOLDER_TIMEOUT_SECONDS if unlisted else HOLDER_TIMEOUT_SECONDS
+    )
+    return now - peer.last_received_at < timeout
--- a/src/ragwortpost/datapath/process/_upstream_selector.py
+++ b/src/ragwortpost/datapath/process/_upstream_selector.py
@@ -1,7 +1,7 @@
-"""Selects upstreams for new flows and agents to query for unknown flows."""
+"""Selects upstreams for new flows."""
 
 import math
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,26 +9,17 @@
     Candidate,
     FlowKey,
     backlog_limit,
-    registrars_of,
     route_key_of,
     select_local_first,
     slowdown,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
-from ragwortpost.datapath.process._node_settings import NodeRole
 from ragwortpost.datapath.process._peer_directory import Peer
 from ragwortpost.datapath.version import UpstreamEntry
 
 # An agent without a digest or reply for this time gets no new flows while
 # others can take them. Exceeds two gossip rounds.
 UNRESPONSIVE_SECONDS: Final = 1.0
-# An agent that the view does not list, or whose upstream has lapsed, is assumed
-# to have stopped with its upstream after this time without a digest or reply:
-# the view may be outdated.
-HOLDER_TIMEOUT_SECONDS: Final = 2.0
-# The same time for an agent that a fresh view does not list. A new upstream
-# takes at most this long to appear in all views.
-UNLISTED_HOLDER_TIMEOUT_SECONDS: Final = 0.5
 # A reported load older than this is outdated: one more new flow is tried at an
 # agent that reported a full queue.
 MAX_LOAD_AGE_SECONDS: Final = 0.06
@@ -95,17 +86,6 @@
             for upstream in fleet.upstreams.get(service, ())
         )
 
-    def other_service_holders(self, service: str) -> Sequence[str]:
-        """Return the agents that may hold flows of the other services."""
-        other_services = [
-            name for name in self._state.fleet.upstreams if name != service
-        ]
-        return tuple(
-            host
-            for name in other_services
-            for host in self.possible_holders(name)
-        )
-
     def is_unresponsive(self, agent: str) -> bool:
         """Return whether no digest or reply of an agent arrived recently."""
         peer = self._directory.peers.get(agent)
@@ -116,24 +96,6 @@
             > UNRESPONSIVE_SECONDS
         )
 
-    def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
-        """Return the agents that a flow of a service is registered with."""
-        upstreams = self._state.fleet.upstreams.get(service, ())
-        return registrars_of(flow, [upstream.host for upstream in upstreams])
-
-    def possible_holders(self, service: str) -> Sequence[str]:
-        """Return all agents that may hold flows of a service."""
-        upstreams = self._state.fleet.upstreams.get(service, ())
-        hosts = {
-            upstream.host: None
-            for upstream in upstreams
-            if not self._is_lapsed_and_unresponsive(upstream)
-        }
-        for host, peer in self._directory.peers.items():
-            if self._is_live_agent(host, peer, service):
-                hosts[host] = None
-        return tuple(hosts)
-
     def _candidates(
         self, upstreams: Iterable[UpstreamEntry], requirements: _Requirements
     ) -> list[Candidate]:
@@ -212,19 +174,3 @@
         # more once it replies.
         attempted = self._directory.has_recent_attempt(agent, now)
         return not (attempted and self.is_unresponsive(agent))
-
-    def _is_live_agent(self, host: str, peer: Peer, service: str) -> bool:
-        """Return whether a peer is a responsive agent of a service."""
-        if peer.digest.role != NodeRole.AGENT.value:
-            return False
-        unlisted = (
-            self._state.is_fresh
-            and host not in self._state.fleet.upstreams_by_host
-        )
-        timeout = (
-            UNLISTED_HOLDER_TIMEOUT_SECONDS
-            if unlisted
-            else HOLDER_TIMEOUT_SECONDS
-        )
-        idle_time = self._clock.monotonic() - peer.last_received_at
-        return peer.digest.service == service and idle_time < timeout
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -30,6 +30,8 @@
     FlowQueryReply,
     Forward,
     ForwardReply,
+    Inventory,
+    InventoryQuery,
     Registration,
 )
 from ragwortpost.datapath.process._node_context import NodeContext, make_context
@@ -275,9 +277,9 @@
                         registration,
                         sender,
                     )
-                case FlowQuery() as query:
+                case (FlowQuery() | InventoryQuery()) as query:
                     self.agents[address[0]].receive_query(query, sender)
-                case FlowQueryReply() as query_reply:
+                case (FlowQueryReply() | Inventory()) as query_reply:
                     entry = self.entry_nodes[address[0]]
                     entry.receive_query_reply(query_reply, sender)
                 case ForwardReply() as reply:
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -209,7 +209,9 @@
     def test_flow_held_by_no_upstream_is_reset(self) -> None:
         network = self.network()
         network.send_packet(make_packet(FLOW, length=20, acknowledged=77))
+        network.advance(0.02)
         assert [packet.sequence for packet in network.resets] == [77]
+        assert not network.upstreams_reached(FLOW)
 
 
 class TestStalledLookups:
