Register flows again with agents that become their registrars

A flow was registered once, at the age of 0.3 s, with the registrars of the view at that time. After a mass restart views differ while upstreams come back, so flows were registered with agents that no entry queries later.

When the upstreams of its service change, an agent checks the registrars of its registered flows, at most 200 flows per tick, and sends each flow only to the agents that became its registrars, at most 100 flows per datagram. An upstream that restarted at the same address counts as changed.

Also adds a test that a lost packet to an agent that listed a flow is no denial.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -58,6 +58,7 @@
     QueryBatcher,
 )
 from ragwortpost.datapath.connection._registration import (
+    MAX_REGISTRATIONS_PER_TICK,
     RegistrationQueue,
     registrars_of,
 )
@@ -89,6 +90,7 @@
     'DIRECT_QUERY_LIMIT',
     'FLOW_KEY_BYTES',
     'MAX_INVENTORY_FLOWS',
+    'MAX_REGISTRATIONS_PER_TICK',
     'SEQUENCE_MODULUS',
     'Admission',
     'AdmissionRate',
--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -53,6 +53,9 @@
     handshake_sequence: int | None
     # The hash that stands for the flow in inventories.
     flow_hash: int
+    # Upstreams whose agents it is registered with, by address and identity;
+    # none before its registration.
+    registrars: frozenset[tuple[str, str]] | None = None
     # Whether a request was sent and its response has not started.
     awaits_response: bool = False
     # Monotonic seconds of the last packet of that request.
@@ -97,6 +100,15 @@
         """Hashes of all held flows."""
         return [held.flow_hash for held in self._flows.values()]
 
+    @property
+    def registered_flows(self) -> list[FlowKey]:
+        """Held flows that were registered."""
+        return [
+            flow
+            for flow, held in self._flows.items()
+            if held.registrars is not None
+        ]
+
     def load(self, now: float) -> int:
         """Return the number of requests in progress and of expected ones."""
         return self._awaiting_response + self._expected_requests.count(now)
--- a/src/ragwortpost/datapath/process/tests/test_lookups.py
+++ b/src/ragwortpost/datapath/process/tests/test_lookups.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from ragwortpost.datapath.connection import registrars_of
+from ragwortpost.datapath.connection import RegistrationQueue, registrars_of
 from ragwortpost.datapath.connection.tests.packets import (
     accepting_packet,
     flow_key,
@@ -136,6 +136,20 @@
         assert network.upstreams_reached(FLOW) == [holder]
         assert len(network.upstreams[holder].received) == 2
 
+    def test_no_denial_by_an_agent_that_lost_the_forwarded_packet(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        network = many_agents()
+        holder = open_young_flow(network)
+        agent = network.agents[holder]
+        with monkeypatch.context() as lossy:
+            lossy.setattr(agent, 'receive_forward', lambda *_: None)
+            send_data(network, holder)
+            run_ticks(network, 20)
+        assert not network.resets
+        send_data(network, holder)
+        assert len(network.upstreams[holder].received) == 2
+
     def test_agents_of_other_services_have_to_deny_as_well(self) -> None:
         others = [upstream(90, service='layout'), upstream(91, service='x')]
         numbers = range(1, AGENTS + 1)
@@ -149,6 +163,66 @@
         assert len(network.resets) == 1
 
 
+class TestRegistrations:
+    """Flows are registered with the registrars of the current view."""
+
+    def test_flows_are_registered_again_when_upstreams_join(self) -> None:
+        network = many_agents()
+        host = network.documents[0].host
+        flows = [flow_key(number) for number in range(500)]
+        for flow in flows:
+            network.upstreams[host].send(accepting_packet(flow))
+        network.advance(0.5)
+        joined = upstream(50)
+        network.documents = (*network.documents, joined)
+        network.start_agent(joined)
+        network.publish(upstream_record(0, joined))
+        hosts = [document.host for document in network.documents]
+        moved = [
+            one for one in flows if joined.host in registrars_of(one, hosts)
+        ]
+        network.sent.clear()
+        network.bytes_sent_by.clear()
+        network.advance(0.6)
+        # Only the flows with a new registrar are sent, in batches of a tick.
+        assert set(network.sent) == {(host, joined.host)}
+        assert len(network.sent) == 3
+        assert network.bytes_sent_by[host] == 3 + 12 * len(moved)
+        network.add_entry(SECOND_ENTRY)
+        network.send_packet(
+            make_packet(moved[-1], length=20, acknowledged=501), SECOND_ENTRY
+        )
+        assert network.upstreams_reached(moved[-1]) == [host]
+
+    def test_a_restarted_registrar_gets_its_flows_again(self) -> None:
+        network = many_agents()
+        network.upstreams[network.documents[0].host].send(
+            accepting_packet(FLOW)
+        )
+        network.advance(0.5)
+        hosts = [document.host for document in network.documents]
+        registrar = next(
+            document
+            for document in network.documents[1:]
+            if document.host in registrars_of(FLOW, hosts)
+        )
+        network.start_agent(registrar)
+        network.publish(Record(f'upstream/{registrar.ident}', 0, None))
+        network.publish(upstream_record(0, replace(registrar, ident='new')))
+        network.sent.clear()
+        network.advance(0.3)
+        assert network.sent == [(network.documents[0].host, registrar.host)]
+
+    def test_a_tick_registers_a_bounded_number_again(self) -> None:
+        queue = RegistrationQueue()
+        flows = [flow_key(number) for number in range(300)]
+        queue.renew(flows)
+        assert list(queue.pop_renewals(200)) == flows[:200]
+        queue.renew(flows)
+        assert list(queue.pop_renewals(200)) == flows[200:] + flows[:100]
+        assert not queue.pop_renewals(-1)
+
+
 class TestRestartedAgents:
     """Agents that don't know all flows of their upstreams."""
 
