Count messages, bytes and processor time by kind

What a process spends its time on could only be seen by instrumenting a trial. Each process now counts its datagrams by kind and direction, from the first byte (and the purpose of a forwarded packet), and the processor time of their handlers; /metrics renders them. A reading of the thread's processor time takes 0.42 us, so one message of each kind in eight is timed and counts eightfold.

Measured: 0.42 us added per message received, 0.29 us per message sent, 0.29 and 0.14 us for packets (0.85, 0.55, 0.54, 0.27 with other work on the machine). 194 tests of datapath/process, tests/test_processes.py and tests/test_operations_page.py pass.

--- a/src/ragwortpost/datapath/process/_metrics.py
+++ b/src/ragwortpost/datapath/process/_metrics.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
+from ragwortpost.datapath.process._message_meter import MessageMeter
+
 # Upper bounds of the histogram buckets: from a round trip within a data centre
 # to a store call that timed out.
 BUCKET_SECONDS: Final = (
@@ -64,6 +66,8 @@
         """Initialize all metrics with zero."""
         # Number of events, by name.
         self.events: Final[Counter[str]] = Counter()
+        # Messages by kind and direction, and the processor time of each kind.
+        self.messages: Final = MessageMeter()
         # From the first query for a flow's holder to the holder's reply.
         self.lookup_seconds: Final = Histogram()
         # From a new flow's first packet to the upstream's acceptance.
@@ -85,6 +89,7 @@
         for gauge, reading in gauges.items():
             yield f'# TYPE {_PREFIX}_{gauge} gauge'
             yield f'{_PREFIX}_{gauge} {reading}'
+        yield from self.messages.render(_PREFIX)
         histograms = {
             'search_seconds': self.lookup_seconds,
             'opening_seconds': self.accept_seconds,
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -128,7 +128,12 @@
         sockets = stack.enter_context(ExitStack())
         udp = UdpSockets()
         peer_address = (settings.host, settings.peer_port)
-        to_peer = udp.open(sockets, peer_address, self._dispatch_datagram)
+        meter = self._context.metrics.messages
+        to_peer = meter.sender(
+            udp.open(
+                sockets, peer_address, meter.receiver(self._dispatch_datagram)
+            )
+        )
         self._open_role(sockets, udp, to_peer)
         await self._gossip.open(stack, to_peer)
         answer = self._ports.answer_readiness
@@ -233,20 +238,23 @@
     ) -> None:
         settings = self._settings
         side = settings.upstream_side
+        meter = self._context.metrics.messages
         if self._entry is not None:
             address = (settings.host, settings.packet_port)
-            receive = self._entry.receive_packet
-            self._entry.open(udp.open(sockets, address, receive), to_peer)
+            receive = meter.packet_receiver(self._entry.receive_packet)
+            to_caller = udp.open(sockets, address, receive)
+            self._entry.open(meter.packet_sender(to_caller), to_peer)
         if self._agent is not None and side is not None:
             outbound = udp.open(
                 sockets,
                 side.outbound,
-                self._agent.receive_outbound,
+                meter.packet_receiver(self._agent.receive_outbound),
             )
             local_status = self._gossip.local_status
             agent = self._agent
             local_status.load = lambda: agent.load
             local_status.pace_ms = lambda: agent.pace_ms
+            outbound = meter.packet_sender(outbound)
             agent.open(outbound, to_peer, lambda: local_status.leaving)
 
     def _dispatch_datagram(self, datagram: bytes, sender: HostPort) -> None:
@@ -276,11 +284,14 @@
             await asyncio.sleep(interval)
             lag = self._clock.monotonic() - started - interval
             self._context.metrics.loop_lag_seconds.observe(max(0, lag))
-            self._state.expire()
-            if self._entry is not None:
-                self._entry.tick()
-            if self._agent is not None:
-                self._agent.tick()
+            self._context.metrics.messages.time_tick(self._tick)
+
+    def _tick(self) -> None:
+        self._state.expire()
+        if self._entry is not None:
+            self._entry.tick()
+        if self._agent is not None:
+            self._agent.tick()
 
     async def _run_forever(self, job: Callable[[], Awaitable[None]]) -> None:
         while True:
