Keep changes and digests within a budget of link and processor

After a mass restart, processes with 10 Mbit/s and half a core sent digests and changes as if idle, and lost packets of callers.

A digest that waited is encoded again when it is sent: with the age of the view from before the wait, each hop would make views seem fresher than they are.

The cores come from limits.cores x limits.cpuShare, one core if either is missing; a number that is not positive is rejected with its field and value.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -12,6 +12,10 @@
     AdmissionInputs,
     Refusal,
 )
+from ragwortpost.datapath.connection._control_budget import (
+    ControlBudget,
+    Traffic,
+)
 from ragwortpost.datapath.connection._flow_cache import FlowCache
 from ragwortpost.datapath.connection._flow_lookups import (
     DIRECT_QUERY_LIMIT,
@@ -81,6 +85,7 @@
     'AdmissionInputs',
     'Candidate',
     'Congestion',
+    'ControlBudget',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
@@ -98,6 +103,7 @@
     'RegistrationQueue',
     'RouteKey',
     'ServicePace',
+    'Traffic',
     'UnansweredQueries',
     'UnconfirmedPackets',
     'UpstreamLiveness',
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -31,6 +31,10 @@
     NodeRole,
     NodeSettings,
 )
+from ragwortpost.datapath.process._paced_sender import (
+    PacedSender,
+    PacedSenderPorts,
+)
 from ragwortpost.datapath.process._settings_reloader import (
     SettingsReloader,
     SettingsSource,
@@ -107,6 +111,7 @@
         self._reloader = SettingsReloader(context, ports.settings)
         self._agent: Agent | None = None
         self._entry: Entry | None = None
+        self._peer_sender: PacedSender | None = None
         if side is None:
             self._entry = Entry(context, ports.packets)
         else:
@@ -127,13 +132,7 @@
         settings = self._settings
         sockets = stack.enter_context(ExitStack())
         udp = UdpSockets()
-        peer_address = (settings.host, settings.peer_port)
-        meter = self._context.metrics.messages
-        to_peer = meter.sender(
-            udp.open(
-                sockets, peer_address, meter.receiver(self._dispatch_datagram)
-            )
-        )
+        to_peer = self._open_peer_socket(sockets, udp)
         self._open_role(sockets, udp, to_peer)
         await self._gossip.open(stack, to_peer)
         answer = self._ports.answer_readiness
@@ -225,11 +224,29 @@
             'reading': float(self._gossip.local_status.reading),
             'peers': float(len(self._context.directory.peers)),
         }
+        if self._peer_sender is not None:
+            gauges['gossip_waiting'] = float(self._peer_sender.waiting)
         for role in (self._entry, self._agent):
             if role is not None:
                 gauges.update(role.gauges())
         return gauges
 
+    def _open_peer_socket(
+        self, sockets: ExitStack, udp: UdpSockets
+    ) -> SendDatagram:
+        address = (self._settings.host, self._settings.peer_port)
+        meter = self._context.metrics.messages
+        receive = meter.receiver(self._dispatch_datagram)
+        self._peer_sender = PacedSender(
+            self._context,
+            PacedSenderPorts(
+                meter.sender(udp.open(sockets, address, receive)),
+                self._gossip.refresh_digest,
+                asyncio.get_running_loop().call_later,
+            ),
+        )
+        return self._peer_sender.send
+
     def _open_role(
         self,
         sockets: ExitStack,
--- a/src/ragwortpost/datapath/process/_node_settings.py
+++ b/src/ragwortpost/datapath/process/_node_settings.py
@@ -57,3 +57,5 @@
     stop_seconds: float
     # Upstream beside an agent; None for an entry.
     upstream_side: UpstreamSide | None
+    # Processor cores that the process may use.
+    processor_cores: float = 1.0
--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -13,7 +13,7 @@
 from typing import Final
 
 from ragwortpost._datagrams import SendDatagram
-from ragwortpost.datapath.process._codec import encode
+from ragwortpost.datapath.process._codec import decode, encode
 from ragwortpost.datapath.process._messages import (
     Digest,
 )
@@ -108,6 +108,13 @@
         for host in hosts:
             self._send(datagram, (host, self._settings.peer_port))
 
+    def refresh_digest(self, datagram: bytes) -> bytes:
+        """Return a digest of the present state in place of an earlier one."""
+        match decode(datagram):
+            case Digest(wants_reply=wants_reply):
+                return encode(self._digest(wants_reply=wants_reply))
+        return datagram
+
     def broadcast_digest(self) -> None:
         """Send a digest to every known process."""
         self.send_digest(self._known_hosts(), wants_reply=False)
--- a/src/ragwortpost/platform/_settings_file.py
+++ b/src/ragwortpost/platform/_settings_file.py
@@ -1,6 +1,7 @@
 """Parses the settings file that the platform writes for each process."""
 
 import json
+import sys
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
@@ -16,6 +17,8 @@
 
 # The environment variable that names the settings file.
 SETTINGS_VARIABLE: Final = 'RAGWORTPOST_CONFIG'
+# Processor cores of a process whose settings don't state them.
+DEFAULT_CORES: Final = 1.0
 _PARSE_ERRORS: Final = (ValueError, TypeError, AttributeError, IndexError)
 
 
@@ -36,6 +39,16 @@
     """The settings file can't be read."""
 
 
+class InvalidNumberError(NodeSettingsError):
+    """A field that should be a positive number is something else."""
+
+    def __init__(self, field: str, found: object) -> None:
+        """Initialize with the name and the content of the field."""
+        super().__init__(f'field {field} is not a positive number: {found!r}')
+        self.field = field
+        self.found = found
+
+
 class SettingsFile:
     """The settings file of this process."""
 
@@ -62,6 +75,8 @@
     """Return the settings of the process."""
     try:
         return Ok(_parse_fields(json.loads(text)))
+    except NodeSettingsError as error:
+        return Err(error)
     except KeyError as error:
         return Err(NodeSettingsError(f'field {error} is missing'))
     except _PARSE_ERRORS as error:
@@ -84,9 +99,28 @@
         link_megabits=float(fields['limits']['linkMbps']),
         stop_seconds=float(fields['bounds']['graceS']),
         upstream_side=_parse_upstream_side(fields),
+        processor_cores=_parse_cores(fields['limits']),
     )
 
 
+def _parse_cores(limits: Mapping[str, Any]) -> float:
+    """Return the cores that the process may use, one if they are not stated."""
+    cores = limits.get('cores')
+    share = limits.get('cpuShare')
+    if cores is None or share is None:
+        return DEFAULT_CORES
+    for field, number in (('cores', cores), ('cpuShare', share)):
+        if not _is_positive_number(number):
+            raise InvalidNumberError(f'limits.{field}', number)
+    return float(cores) * float(share) or DEFAULT_CORES
+
+
+def _is_positive_number(number: object) -> bool:
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        return False
+    return 0 < number <= sys.float_info.max
+
+
 def _parse_upstream_side(fields: Mapping[str, Any]) -> UpstreamSide | None:
     if not fields.get('app'):
         return None
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -273,6 +273,35 @@
         problem = parse_settings(json.dumps(fields).encode()).unwrap_err()
         assert field in str(problem)
 
+    @pytest.mark.parametrize(
+        ('limits', 'cores'),
+        [
+            ({}, 1),
+            ({'cpuShare': 0.5}, 1),
+            ({'cpuShare': 0.5, 'cores': None}, 1),
+            ({'cpuShare': 0.5, 'cores': 4}, 2),
+        ],
+    )
+    def test_processor_cores(
+        self, limits: dict[str, object], cores: float
+    ) -> None:
+        fields = {**SETTINGS, 'limits': {'linkMbps': 10, **limits}}
+        settings = parse_settings(json.dumps(fields).encode()).unwrap()
+        assert settings.processor_cores == cores
+
+    @pytest.mark.parametrize('field', ['cores', 'cpuShare'])
+    @pytest.mark.parametrize(
+        'wrong', ['2', 0, -1, True, [], float('nan'), float('inf'), 10**400]
+    )
+    def test_error_names_the_unusable_limit(
+        self, field: str, wrong: object
+    ) -> None:
+        limits = {'linkMbps': 10, 'cores': 2, 'cpuShare': 0.5, field: wrong}
+        fields = {**SETTINGS, 'limits': limits}
+        problem = parse_settings(json.dumps(fields).encode()).unwrap_err()
+        assert f'limits.{field}' in str(problem)
+        assert repr(wrong) in str(problem)
+
     @given(st.binary(max_size=80))
     def test_invalid_settings_are_an_error(self, text: bytes) -> None:
         assert parse_settings(text).is_err()
