--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -13,6 +13,10 @@
     Refusal,
 )
 from ragwortpost.datapath.connection._answer_deferral import AnswerDeferral
+from ragwortpost.datapath.connection._control_budget import (
+    ControlBudget,
+    Traffic,
+)
 from ragwortpost.datapath.connection._flow_cache import FlowCache
 from ragwortpost.datapath.connection._flow_lookups import (
     DIRECT_QUERY_LIMIT,
@@ -99,6 +103,7 @@
     'Candidate',
     'Congestion',
     'Denials',
+    'ControlBudget',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
@@ -119,6 +124,7 @@
     'RegistrationQueue',
     'RouteKey',
     'ServicePace',
+    'Traffic',
     'UnansweredQueries',
     'UnconfirmedPackets',
     'UpstreamLiveness',
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -33,6 +33,10 @@
     NodeRole,
     NodeSettings,
 )
+from ragwortpost.datapath.process._paced_sender import (
+    PacedSender,
+    PacedSenderPorts,
+)
 from ragwortpost.datapath.process._settings_reloader import (
     SettingsReloader,
     SettingsSource,
@@ -109,6 +113,7 @@
         self._reloader = SettingsReloader(context, ports.settings)
         self._agent: Agent | None = None
         self._entry: Entry | None = None
+        self._peer_sender: PacedSender | None = None
         if side is None:
             self._entry = Entry(context, ports.packets)
         else:
@@ -129,8 +134,7 @@
         settings = self._settings
         sockets = stack.enter_context(ExitStack())
         udp = UdpSockets()
-        peer_address = (settings.host, settings.peer_port)
-        to_peer = udp.open(sockets, peer_address, self._dispatch_datagram)
+        to_peer = self._open_peer_socket(sockets, udp)
         self._open_role(sockets, udp, to_peer)
         await self._gossip.open(stack, to_peer)
         answer = self._ports.answer_readiness
@@ -222,11 +226,29 @@
             'reading': float(self._gossip.local_status.reading),
             'peers': float(len(self._context.directory.peers)),
         }
+        if self._peer_sender is not None:
+            gauges['gossip_waiting'] = float(self._peer_sender.waiting)
         for role in (self._entry, self._agent):
             if role is not None:
                 gauges.update(role.gauges())
         return gauges
 
+    def _open_peer_socket(
+        self, sockets: ExitStack, udp: UdpSockets
+    ) -> SendDatagram:
+        address = (self._settings.host, self._settings.peer_port)
+        meter = self._context.metrics.messages
+        receive = meter.receiver(self._dispatch_datagram)
+        self._peer_sender = PacedSender(
+            self._context,
+            PacedSenderPorts(
+                meter.sender(udp.open(sockets, address, receive)),
+                self._gossip.refresh_digest,
+                asyncio.get_running_loop().call_later,
+            ),
+        )
+        return self._peer_sender.send
+
     def _open_role(
         self,
         sockets: ExitStack,
@@ -235,20 +257,23 @@
     ) -> None:
         settings = self._settings
         side = settings.upstream_side
+        meter = self._context.metrics.messages
         if self._entry is not None:
             address = (settings.host, settings.packet_port)
-            receive = self._entry.receive_packet
-            self._entry.open(udp.open(sockets, address, receive), to_peer)
+            receive = meter.packet_receiver(self._entry.receive_packet)
+            to_caller = udp.open(sockets, address, receive)
+            self._entry.open(meter.packet_sender(to_caller), to_peer)
         if self._agent is not None and side is not None:
             outbound = udp.open(
                 sockets,
                 side.outbound,
-                self._agent.receive_outbound,
+                meter.packet_receiver(self._agent.receive_outbound),
             )
             local_status = self._gossip.local_status
             agent = self._agent
             local_status.load = lambda: agent.load
             local_status.pace_ms = lambda: agent.pace_ms
+            outbound = meter.packet_sender(outbound)
             agent.open(outbound, to_peer, lambda: local_status.leaving)
 
     def _dispatch_datagram(self, datagram: bytes, sender: HostPort) -> None:
@@ -282,11 +307,14 @@
             await asyncio.sleep(interval)
             lag = self._clock.monotonic() - started - interval
             self._context.metrics.loop_lag_seconds.observe(max(0, lag))
-            self._state.expire()
-            if self._entry is not None:
-                self._entry.tick()
-            if self._agent is not None:
-                self._agent.tick()
+            self._context.metrics.messages.time_tick(self._tick)
+
+    def _tick(self) -> None:
+        self._state.expire()
+        if self._entry is not None:
+            self._entry.tick()
+        if self._agent is not None:
+            self._agent.tick()
 
     async def _run_forever(self, job: Callable[[], Awaitable[None]]) -> None:
         while True:
