Cache the registrars of flows

Rendezvous hashing over 60 agents took 29 microseconds and was computed three times per lookup. Flows now share registrars with the others of one of 4,096 buckets, and the registrars of a bucket are kept until the addresses of the service's agents change.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -59,6 +59,7 @@
 )
 from ragwortpost.datapath.connection._registration import (
     MAX_REGISTRATIONS_PER_TICK,
+    RegistrarTable,
     RegistrationQueue,
     registrars_of,
 )
@@ -116,6 +117,7 @@
     'PossibleHolders',
     'QueryBatcher',
     'Refusal',
+    'RegistrarTable',
     'RegistrationQueue',
     'RouteKey',
     'ServicePace',
--- a/src/ragwortpost/datapath/connection/_registration.py
+++ b/src/ragwortpost/datapath/connection/_registration.py
@@ -14,10 +14,16 @@
 
 import xxhash
 
+from ragwortpost.datapath.connection._inventories import flow_hash
 from ragwortpost.datapath.connection._packet import FlowKey
 
 # Registrars of each flow: two, since one may be down.
 REGISTRAR_COUNT: Final = 2
+# Flows are hashed to this number of buckets, and the registrars of a bucket by
+# rendezvous hashing. Enough that all of a hundred agents get like numbers of
+# flows.
+REGISTRAR_BUCKETS: Final = 4096
+_BUCKET_BYTES: Final = 2
 # Maximum flows registered in one tick, if some are registered again after a
 # change of the view. Bounds the time that a tick takes and the datagrams it
 # sends at once.
@@ -27,13 +33,40 @@
 REGISTRATION_DELAY_SECONDS: Final = 0.3
 
 
-def registrars_of(flow: FlowKey, hosts: Iterable[str]) -> list[str]:
+class RegistrarTable:
+    """The registrars of all flows, for one set of agents.
+
+    Flows share registrars with the others of their bucket, so that most calls
+    don't iterate over the agents.
+    """
+
+    def __init__(self, hosts: Iterable[str]) -> None:
+        """Initialize with the addresses of all agents of a service."""
+        self._hosts = tuple(hosts)
+        self._registrars: dict[int, Sequence[str]] = {}
+
+    def has_hosts(self, hosts: Sequence[str]) -> bool:
+        """Return whether the table is for agents with these addresses."""
+        return self._hosts == hosts
+
+    def registrars_of(self, flow: FlowKey) -> Sequence[str]:
+        """Return the addresses of the agents a flow is registered with."""
+        bucket = flow_hash(flow) % REGISTRAR_BUCKETS
+        registrars = self._registrars.get(bucket)
+        if registrars is None:
+            key = bucket.to_bytes(_BUCKET_BYTES)
+            registrars = heapq.nsmallest(
+                REGISTRAR_COUNT,
+                self._hosts,
+                key=lambda host: xxhash.xxh64_intdigest(key + host.encode()),
+            )
+            self._registrars[bucket] = registrars
+        return registrars
+
+
+def registrars_of(flow: FlowKey, hosts: Iterable[str]) -> Sequence[str]:
     """Return the addresses of the agents that a flow is registered with."""
-    return heapq.nsmallest(
-        REGISTRAR_COUNT,
-        hosts,
-        key=lambda host: xxhash.xxh64_intdigest(flow + host.encode()),
-    )
+    return RegistrarTable(hosts).registrars_of(flow)
 
 
 class RegistrationQueue:
--- a/src/ragwortpost/datapath/process/_flow_registrations.py
+++ b/src/ragwortpost/datapath/process/_flow_registrations.py
@@ -7,8 +7,8 @@
     MAX_REGISTRATIONS_PER_TICK,
     FlowKey,
     HeldFlows,
+    RegistrarTable,
     RegistrationQueue,
-    registrars_of,
 )
 from ragwortpost.datapath.process._codec import batch_flows
 from ragwortpost.datapath.process._messages import Registration
@@ -37,6 +37,7 @@
         # service's upstreams by address.
         self._fleet = EMPTY_INDEX
         self._upstreams: dict[str, str] = {}
+        self._registrars = RegistrarTable(())
 
     def add(self, flow: FlowKey, now: float) -> None:
         """Add a new flow, to be registered if it lives long enough."""
@@ -73,6 +74,7 @@
         }
         if upstreams != self._upstreams:
             self._upstreams = upstreams
+            self._registrars = RegistrarTable(upstreams)
             self._queue.renew(self._held_flows.registered_flows)
 
     def _new_registrars(self, flow: FlowKey) -> Iterator[str]:
@@ -82,7 +84,7 @@
             return
         registrars = frozenset(
             (host, self._upstreams[host])
-            for host in registrars_of(flow, self._upstreams)
+            for host in self._registrars.registrars_of(flow)
         )
         previous = held.registrars or frozenset()
         held.registrars = registrars
--- a/src/ragwortpost/datapath/process/_possible_holders.py
+++ b/src/ragwortpost/datapath/process/_possible_holders.py
@@ -8,7 +8,7 @@
 from ragwortpost.datapath.connection import (
     FlowKey,
     PossibleHolders,
-    registrars_of,
+    RegistrarTable,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._node_settings import NodeRole
@@ -59,7 +59,7 @@
         self._directory = context.directory
         self._selector = selector
         self._derived = _Derived(EMPTY_INDEX, 0, 0, {})
-        self._registrar_hosts: dict[str, tuple[str, ...]] = {}
+        self._registrars: Mapping[str, RegistrarTable] = {}
         self._registrar_fleet = EMPTY_INDEX
 
     def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
@@ -67,11 +67,12 @@
         fleet = self._state.fleet
         if fleet is not self._registrar_fleet:
             self._registrar_fleet = fleet
-            self._registrar_hosts = {
-                name: tuple(upstream.host for upstream in upstreams)
+            self._registrars = {
+                name: self._registrar_table(name, upstreams)
                 for name, upstreams in fleet.upstreams.items()
             }
-        return registrars_of(flow, self._registrar_hosts.get(service, ()))
+        table = self._registrars.get(service)
+        return table.registrars_of(flow) if table else ()
 
     def possible_holders(self, service: str) -> PossibleHolders:
         """Return all agents that may hold flows of a service."""
@@ -89,6 +90,16 @@
             derived.holders[service] = holders
         return holders
 
+    def _registrar_table(
+        self, service: str, upstreams: Sequence[UpstreamEntry]
+    ) -> RegistrarTable:
+        """Return a table for a service, the same as before if it may stay."""
+        hosts = tuple(upstream.host for upstream in upstreams)
+        table = self._registrars.get(service)
+        if table is not None and table.has_hosts(hosts):
+            return table
+        return RegistrarTable(hosts)
+
     def _current(self) -> _Derived:
         derived = self._derived
         now = self._clock.monotonic()
