Examine only lookups that may be denied by all in a tick

A tick examines the lookups that every agent's inventory denies, and those that one of the agents with the lowest watermark has denied by name.

Each tick derives the possible holders anew, so that it decides on the current ones. Adds tests of the order of denials, and of an agent with an unconfirmed packet.

--- a/src/ragwortpost/datapath/connection/_holder_search.py
+++ b/src/ragwortpost/datapath/connection/_holder_search.py
@@ -6,9 +6,10 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
-from itertools import chain
+from itertools import chain, takewhile
+from typing import TypeAlias
 
 from ragwortpost.datapath.connection._flow_lookups import FlowLookup
 from ragwortpost.datapath.connection._inventories import flow_hash
@@ -20,7 +21,12 @@
 )
 from ragwortpost.datapath.connection._packet import FlowKey
 
-_Queue = dict[FlowKey, FlowLookup]
+_Queue: TypeAlias = dict[FlowKey, FlowLookup]
+# Chooses lookups by a condition: ``filter``, or ``takewhile`` for a queue in
+# the order of their start.
+_Choose: TypeAlias = Callable[
+    [Callable[[FlowLookup], bool], Iterable[FlowLookup]], Iterable[FlowLookup]
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +53,8 @@
         self._last_position = NO_POSITION
         # Latest start of a lookup that other services' agents have to deny.
         self._last_in_others = NO_POSITION
-        # No lookup has more denials by name since the queue was last empty.
-        self._max_denials = 0
+        # The lookups that each agent has denied by a reply that names them.
+        self._denied_by: defaultdict[str, _Queue] = defaultdict(dict)
         self._holders = PossibleHolders((), ())
 
     def __len__(self) -> int:
@@ -58,18 +64,19 @@
     def add(self, lookup: FlowLookup) -> None:
         """Add a lookup, or begin it anew for the caller's next packet."""
         self.remove(lookup)
-        if not self._in_service:
-            self._max_denials = 0
         lookup.began = self._take_position(lookup)
         lookup.listed_by.clear()
         flow = lookup.packet.flow
         self._in_service[flow] = lookup
         self._by_hash[flow_hash(flow)][flow] = lookup
-        self._count_denials(lookup)
+        for agent in lookup.denied:
+            self._denied_by[agent][flow] = lookup
 
     def remove(self, lookup: FlowLookup) -> None:
         """Remove a lookup if it is waiting."""
         flow = lookup.packet.flow
+        for agent in lookup.denied:
+            self._denied_by[agent].pop(flow, None)
         self._in_service.pop(flow, None)
         self._in_others.pop(flow, None)
         hashed = flow_hash(flow)
@@ -82,7 +89,12 @@
     def record_denial(self, lookup: FlowLookup, agent: str) -> None:
         """Record that an agent has denied a flow by a reply that names it."""
         lookup.denied.add(agent)
-        self._count_denials(lookup)
+        self._denied_by[agent][lookup.packet.flow] = lookup
+
+    def withdraw_denial(self, lookup: FlowLookup, agent: str) -> None:
+        """Discard a denial: a later inventory of the agent lists the flow."""
+        lookup.denied.discard(agent)
+        self._denied_by[agent].pop(lookup.packet.flow, None)
 
     def names_flows(self, agent: str) -> bool:
         """Return whether an agent is queried by naming flows."""
@@ -94,6 +106,9 @@
             return
         self._holders = holders
         self._watermarks.retain(frozenset((*holders.own, *holders.others)))
+        for agent in tuple(self._denied_by):
+            if not self._denied_by[agent]:
+                self._denied_by.pop(agent)
 
     def due_requests(self, now: float) -> Sequence[str]:
         """Return the agents whose inventories are to be requested now."""
@@ -141,10 +156,9 @@
             self._move_denied()
         if self._in_others:
             denials = self.denials()
-            for lookup in tuple(self._in_others.values()):
-                if denials.all_deny(lookup):
-                    self.remove(lookup)
-                    yield lookup
+            for lookup in self._denied(filter, self._in_others, denials):
+                self.remove(lookup)
+                yield lookup
 
     def denials(self) -> Denials:
         """Return which lookups all possible holders have denied."""
@@ -154,20 +168,41 @@
     def _move_denied(self) -> None:
         """Move the lookups that the service's agents have all denied."""
         denials = self._watermarks.denials(self._holders.own)
-        moved = []
-        for lookup in self._in_service.values():
-            if denials.pending_count(lookup) > self._max_denials:
-                # Later lookups have as many agents pending or more.
-                break
-            if denials.all_deny(lookup):
-                moved.append(lookup)
-        for denied in moved:
+        for denied in self._denied(takewhile, self._in_service, denials):
             flow = denied.packet.flow
             self._in_service.pop(flow)
             self._take_position(denied)
             self._in_others[flow] = denied
             self._last_in_others = max(self._last_in_others, denied.began)
 
+    def _denied(
+        self, choose: _Choose, queue: _Queue, denials: Denials
+    ) -> Sequence[FlowLookup]:
+        """Return the lookups of a queue that all agents have denied.
+
+        Examines those that every agent's inventory denies, chosen by their
+        start, and of the others those that one of the agents with the lowest
+        watermark has denied by name: all these agents must have done so.
+        """
+        lowest = denials.lowest
+        by_inventories = choose(
+            lambda lookup: lookup.began <= lowest, queue.values()
+        )
+        by_name = min(
+            (self._denied_by[agent] for agent in denials.lowest_agents),
+            key=len,
+        )
+        candidates = chain(
+            by_inventories,
+            (lookup for flow, lookup in by_name.items() if flow in queue),
+        )
+        denied = {
+            lookup.packet.flow: lookup
+            for lookup in candidates
+            if denials.all_deny(lookup)
+        }
+        return tuple(denied.values())
+
     def _unnamed(
         self, agent: str, queues: Iterable[_Queue]
     ) -> Iterator[tuple[str, FlowLookup]]:
@@ -194,9 +229,6 @@
         lookup.position = self._last_position
         return self._last_position
 
-    def _count_denials(self, lookup: FlowLookup) -> None:
-        self._max_denials = max(self._max_denials, len(lookup.denied))
-
 
 def _after(queue: _Queue, position: int) -> Iterator[FlowLookup]:
     """Yield the lookups of a queue after a position, last first."""
--- a/src/ragwortpost/datapath/connection/_inventory_watermarks.py
+++ b/src/ragwortpost/datapath/connection/_inventory_watermarks.py
@@ -10,8 +10,8 @@
 """
 
 import math
-from bisect import bisect_left
-from collections.abc import Iterable, Set as AbstractSet
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterable, Sequence, Set as AbstractSet
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import Final
@@ -78,6 +78,16 @@
         self._agents = [agent for _, agent in ascending]
         self._members = frozenset(self._agents)
 
+    @property
+    def lowest(self) -> int:
+        """The lowest watermark, zero if there are no agents."""
+        return self._watermarks[0] if self._watermarks else NO_POSITION
+
+    @property
+    def lowest_agents(self) -> Sequence[str]:
+        """The agents with the lowest watermark."""
+        return self._agents[: bisect_right(self._watermarks, self.lowest)]
+
     def pending_count(self, lookup: FlowLookup) -> int:
         """Return how many agents deny a lookup by no inventory."""
         return bisect_left(self._watermarks, lookup.began)
--- a/src/ragwortpost/datapath/connection/tests/test_inventories.py
+++ b/src/ragwortpost/datapath/connection/tests/test_inventories.py
@@ -156,6 +156,21 @@
         search.search.update_holders(PossibleHolders(('a', 'b'), ('c',)))
         assert search.denied == 1
 
+    def test_the_order_of_denials_does_not_matter(self) -> None:
+        search = Search()
+        lookups = [search.add(number) for number in range(6)]
+        search.ask('b')
+        for lookup in lookups[1::2]:
+            search.search.record_denial(lookup, 'a')
+            search.search.record_denial(lookup, 'c')
+        assert list(search.search.pop_denied()) == lookups[1::2]
+        search.search.record_denial(lookups[2], 'a')
+        search.search.withdraw_denial(lookups[2], 'a')
+        search.ask('c')
+        assert search.denied == 0
+        search.ask('a')
+        assert list(search.search.pop_denied()) == lookups[::2]
+
     def test_without_possible_holders_no_lookup_is_denied(self) -> None:
         search = Search()
         search.add()
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -131,6 +131,7 @@
     def tick(self) -> None:
         """Repeat lost queries, widen overdue lookups, remove expired ones."""
         now = self._clock.monotonic()
+        self._holders.refresh()
         self._repeat_lost_queries()
         for lookup in self._lookups.overdue(now - REGISTRAR_TIMEOUT_SECONDS):
             lookup.queries_all = True
@@ -261,13 +262,14 @@
         previous_listers = lookup.listed_by - lookup.denied
         self._searches.add(lookup, service)
         for agent in previous_listers:
-            self._forward_listed(lookup, agent)
+            if lookup.service:
+                self._forward_listed(lookup, agent)
 
     def _forward_listed(self, lookup: FlowLookup, agent: str) -> None:
         """Forward a packet to an agent that listed the hash of its flow."""
         lookup.listed_by.add(agent)
         if agent not in lookup.queried:
-            lookup.denied.discard(agent)
+            self._searches.withdraw_denial(lookup, agent)
             self._query_directly(lookup, agent, repeatable=True)
 
     def _name_flow(self, agent: str, lookup: FlowLookup) -> None:
--- a/src/ragwortpost/datapath/process/_inventory_searches.py
+++ b/src/ragwortpost/datapath/process/_inventory_searches.py
@@ -88,6 +88,10 @@
         """Record that an agent has denied a flow by a reply that names it."""
         self._searches[lookup.service].record_denial(lookup, agent)
 
+    def withdraw_denial(self, lookup: FlowLookup, agent: str) -> None:
+        """Discard a denial: a later inventory of the agent lists the flow."""
+        self._searches[lookup.service].withdraw_denial(lookup, agent)
+
     def names_flows(self, lookup: FlowLookup, agent: str) -> bool:
         """Return whether an agent is queried for a lookup by naming flows."""
         return self._searches[lookup.service].names_flows(agent)
--- a/src/ragwortpost/datapath/process/_possible_holders.py
+++ b/src/ragwortpost/datapath/process/_possible_holders.py
@@ -1,8 +1,9 @@
 """The agents that may hold flows, derived from the view and the directory."""
 
+import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from ragwortpost.datapath.connection import (
@@ -74,6 +75,10 @@
         table = self._registrars.get(service)
         return table.registrars_of(flow) if table else ()
 
+    def refresh(self) -> None:
+        """Derive all data again when it is next used."""
+        self._derived = replace(self._derived, derived_at=-math.inf)
+
     def possible_holders(self, service: str) -> PossibleHolders:
         """Return all agents that may hold flows of a service."""
         derived = self._current()
@@ -106,7 +111,7 @@
         if (
             derived.fleet is not self._state.fleet
             or derived.peers != len(self._directory.peers)
-            or not 0 <= now - derived.derived_at < MAX_AGE_SECONDS
+            or now - derived.derived_at >= MAX_AGE_SECONDS
         ):
             derived = self._derive(now)
             self._derived = derived
--- a/src/ragwortpost/datapath/process/tests/test_lookups.py
+++ b/src/ragwortpost/datapath/process/tests/test_lookups.py
@@ -161,6 +161,21 @@
         send_data(network, holder)
         assert len(network.upstreams[holder].received) == 2
 
+    def test_an_agent_with_an_unconfirmed_packet_denies_only_by_name(
+        self,
+    ) -> None:
+        network = many_agents()
+        for fake in network.upstreams.values():
+            fake.responds = False
+        network.send_packet(opening_packet(FLOW))
+        reached = network.upstreams_reached(FLOW)[0]
+        network.send_packet(make_packet(FLOW, length=20))
+        run_ticks(network, 3)
+        hosts = [document.host for document in network.documents]
+        as_registrar = reached in registrars_of(FLOW, hosts)
+        denials = network.contexts[reached].metrics.events['not_held']
+        assert denials == 1 + as_registrar
+
     def test_agents_of_other_services_have_to_deny_as_well(self) -> None:
         others = [upstream(90, service='layout'), upstream(91, service='x')]
         numbers = range(1, AGENTS + 1)
