--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -63,6 +63,7 @@
 )
 from ragwortpost.datapath.connection._registration import (
     MAX_REGISTRATIONS_PER_TICK,
+    RegistrarTable,
     RegistrationQueue,
     registrars_of,
 )
@@ -121,6 +122,7 @@
     'PossibleHolders',
     'QueryBatcher',
     'Refusal',
+    'RegistrarTable',
     'RegistrationQueue',
     'RouteKey',
     'ServicePace',
--- a/src/ragwortpost/datapath/process/_possible_holders.py
+++ b/src/ragwortpost/datapath/process/_possible_holders.py
@@ -1,14 +1,15 @@
 """The agents that may hold flows, derived from the view and the directory."""
 
+import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from ragwortpost.datapath.connection import (
     FlowKey,
     PossibleHolders,
-    registrars_of,
+    RegistrarTable,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._node_settings import NodeRole
@@ -59,7 +60,7 @@
         self._directory = context.directory
         self._selector = selector
         self._derived = _Derived(EMPTY_INDEX, 0, 0, {})
-        self._registrar_hosts: dict[str, tuple[str, ...]] = {}
+        self._registrars: Mapping[str, RegistrarTable] = {}
         self._registrar_fleet = EMPTY_INDEX
 
     def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
@@ -67,11 +68,16 @@
         fleet = self._state.fleet
         if fleet is not self._registrar_fleet:
             self._registrar_fleet = fleet
-            self._registrar_hosts = {
-                name: tuple(upstream.host for upstream in upstreams)
+            self._registrars = {
+                name: self._registrar_table(name, upstreams)
                 for name, upstreams in fleet.upstreams.items()
             }
-        return registrars_of(flow, self._registrar_hosts.get(service, ()))
+        table = self._registrars.get(service)
+        return table.registrars_of(flow) if table else ()
+
+    def refresh(self) -> None:
+        """Derive all data again when it is next used."""
+        self._derived = replace(self._derived, derived_at=-math.inf)
 
     def possible_holders(self, service: str) -> PossibleHolders:
         """Return all agents that may hold flows of a service."""
@@ -89,13 +95,23 @@
             derived.holders[service] = holders
         return holders
 
+    def _registrar_table(
+        self, service: str, upstreams: Sequence[UpstreamEntry]
+    ) -> RegistrarTable:
+        """Return a table for a service, the same as before if it may stay."""
+        hosts = tuple(upstream.host for upstream in upstreams)
+        table = self._registrars.get(service)
+        if table is not None and table.has_hosts(hosts):
+            return table
+        return RegistrarTable(hosts)
+
     def _current(self) -> _Derived:
         derived = self._derived
         now = self._clock.monotonic()
         if (
             derived.fleet is not self._state.fleet
             or derived.peers != len(self._directory.peers)
-            or not 0 <= now - derived.derived_at < MAX_AGE_SECONDS
+            or now - derived.derived_at >= MAX_AGE_SECONDS
         ):
             derived = self._derive(now)
             self._derived = derived
