Bound the time that a wake-up spends on datagrams

Up to 64 datagrams of a socket were handled in one wake-up of the event loop. At half a millisecond each, as in the seconds after a mass restart, readiness checks waited for 30 ms and more per socket. A wake-up now ends 8 ms after its start, so both sockets of a process stay below 20 ms; the clock is read once per four datagrams.

--- a/src/ragwortpost/_datagrams.py
+++ b/src/ragwortpost/_datagrams.py
@@ -6,12 +6,19 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Final, Protocol, TypeAlias
 
 # The most datagrams read per wake-up of the event loop.
 BATCH_SIZE: Final = 64
+# Time after which a wake-up reads no further datagrams of a socket. A process
+# has two sockets, and answers readiness checks, which time out, between
+# wake-ups: both together stay below 20 ms.
+BATCH_SECONDS: Final = 0.008
+# Datagrams between two readings of the clock.
+DATAGRAMS_PER_READING: Final = 4
 _SOCKET_BUFFER_BYTES: Final = 4194304
 # Longer than any datagram that a process sends, including its envelope.
 _RECEIVE_BUFFER_BYTES: Final = 2000
@@ -72,10 +79,18 @@
         return send
 
 
-def _read_batch(udp_socket: socket.socket, receive: ReceiveDatagram) -> None:
-    for _ in range(BATCH_SIZE):
+def _read_batch(
+    udp_socket: socket.socket,
+    receive: ReceiveDatagram,
+    read_clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Read datagrams until none is left or one of the limits is reached."""
+    deadline = read_clock() + BATCH_SECONDS
+    for count in range(1, BATCH_SIZE + 1):
         try:
             datagram, sender = udp_socket.recvfrom(_RECEIVE_BUFFER_BYTES)
         except OSError:
             return
         receive(datagram, sender)
+        if not count % DATAGRAMS_PER_READING and read_clock() >= deadline:
+            return
