--- a/src/ragwortpost/datapath/process/tests/test_paced_sender.py
+++ b/src/ragwortpost/datapath/process/tests/test_paced_sender.py
@@ -5,8 +5,10 @@
 there is plenty of both.
 """
 
+import asyncio
 import random
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from dataclasses import replace
 
 import pytest
@@ -52,7 +54,8 @@
     def __init__(self, link: float = 10, cores: float = 0.5) -> None:
         self.clock = ManualClock()
         settings = replace(
-            settings_of('10.0.1.1', None),
+            settings_of('127.0.0.1', None),
+            peer_port=0,
             link_megabits=link,
             processor_cores=cores,
         )
@@ -209,3 +212,23 @@
             process.clock.time += 0.1
         assert len(process.sent) == 50 * (18 + 86)
         assert not process.events['gossip_delayed']
+
+    def test_change_and_digest_reach_every_process_at_once(self) -> None:
+        process = Process(1000, 1)
+        hosts = {f'10.0.2.{number}' for number in range(200)}
+        for host in hosts:
+            process.gossip.receive(digest_of(upstream(1)), host)
+        process.context.state.merge(Changes(0, 1, ()), 'test')
+
+        async def spread() -> None:
+            async with AsyncExitStack() as stack:
+                await process.gossip.open(stack, process.sender.send)
+                process.gossip.push_changes(0)
+                process.gossip.broadcast_digest()
+
+        asyncio.run(spread())
+        for kind in (Changes, Digest):
+            assert {
+                to[0] for to, message in process.sent if type(message) is kind
+            } == hosts
+        assert not process.sender.waiting
