Ledger of granted room, queue of waiting flows, index by load

Cause: entries with waiting flows ask one agent after another, and each tick and each selection walks over all waiting flows or all upstreams.

Change: pure modules for the parts of room grants: the agent's ledger of demands and grants, the entry's queue and refusal times, the schedule of its demands, and an index of upstreams by load score. Admission counts reserved room. Nothing uses them yet.

Tests: of two runs of pytest src/ragwortpost/datapath, the first failed in test_view_gossip.py (TestPulls, three tests or more; only the end of the output was kept), the second passed.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -12,6 +12,9 @@
     AdmissionInputs,
     Refusal,
 )
+from ragwortpost.datapath.connection._demand_schedule import (
+    DemandSchedule,
+)
 from ragwortpost.datapath.connection._flow_cache import FlowCache
 from ragwortpost.datapath.connection._flow_lookups import (
     DIRECT_QUERY_LIMIT,
@@ -24,6 +27,9 @@
     HeldFlows,
     Ownership,
 )
+from ragwortpost.datapath.connection._load_index import (
+    LoadIndex,
+)
 from ragwortpost.datapath.connection._packet import (
     FLOW_KEY_BYTES,
     SEQUENCE_MODULUS,
@@ -48,6 +54,12 @@
     RegistrationQueue,
     registrars_of,
 )
+from ragwortpost.datapath.connection._room_grants import (
+    GRANT_SECONDS,
+    Demand,
+    Grant,
+    RoomGrants,
+)
 from ragwortpost.datapath.connection._service_pace import ServicePace
 from ragwortpost.datapath.connection._unanswered_queries import (
     UnansweredQueries,
@@ -59,6 +71,7 @@
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
     backlog_limit,
+    has_room,
     load_score,
     select_local_first,
     select_upstream,
@@ -69,24 +82,35 @@
     Congestion,
     WaitLimits,
     max_wait,
+    refusal_time,
     should_refuse,
 )
+from ragwortpost.datapath.connection._waiting_queue import (
+    RefusalTimes,
+    RefusedCallers,
+    WaitingQueue,
+)
 
 __all__ = [
     'DIRECT_QUERY_LIMIT',
     'FLOW_KEY_BYTES',
+    'GRANT_SECONDS',
     'SEQUENCE_MODULUS',
     'Admission',
-    'AdmissionRate',
     'AdmissionInputs',
+    'AdmissionRate',
     'Candidate',
     'Congestion',
+    'Demand',
+    'DemandSchedule',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
     'FlowLookups',
+    'Grant',
     'HeldFlow',
     'HeldFlows',
+    'LoadIndex',
     'OutgoingQuery',
     'Ownership',
     'Packet',
@@ -95,20 +119,26 @@
     'PendingFlows',
     'QueryBatcher',
     'Refusal',
+    'RefusalTimes',
+    'RefusedCallers',
     'RegistrationQueue',
+    'RoomGrants',
     'RouteKey',
     'ServicePace',
     'UnansweredQueries',
     'UnconfirmedPackets',
     'UpstreamLiveness',
     'WaitLimits',
+    'WaitingQueue',
     'agents_to_query',
     'backlog_limit',
     'caller_address',
     'format_flow',
+    'has_room',
     'load_score',
     'max_wait',
     'parse_flow',
+    'refusal_time',
     'registrars_of',
     'route_key_of',
     'select_local_first',
--- a/src/ragwortpost/datapath/connection/_admission.py
+++ b/src/ragwortpost/datapath/connection/_admission.py
@@ -46,6 +46,11 @@
     connection_limit: int
     # Limit of the upstream's requests, queued ones included.
     backlog_limit: int
+    # Room that is granted to entries, or used by flows that the upstream has
+    # not answered yet.
+    reserved: int = 0
+    # Whether the new flow uses granted room.
+    granted: bool = False
 
 
 class Admission:
@@ -72,6 +77,30 @@
             self._admitted_at.append(now)
         return refusal
 
+    def room(
+        self, inputs: AdmissionInputs, held: int, load: int, now: float
+    ) -> int:
+        """Return how many new flows may be granted room."""
+        self._expire(now)
+        if (
+            inputs.leaving
+            or inputs.data_centre_drained
+            or inputs.upstream_unresponsive
+        ):
+            return 0
+        room = min(inputs.connection_limit - held, inputs.backlog_limit - load)
+        if inputs.warm_up_rate is not None:
+            limit = max(1, int(inputs.warm_up_rate))
+            room = min(room, limit - len(self._admitted_at))
+        return max(0, room - inputs.reserved)
+
+    def _expire(self, now: float) -> None:
+        while (
+            self._admitted_at
+            and now - self._admitted_at[0] > RATE_WINDOW_SECONDS
+        ):
+            self._admitted_at.popleft()
+
     def _refusal(
         self,
         inputs: AdmissionInputs,
@@ -79,11 +108,7 @@
         load: int,
         now: float,
     ) -> Refusal | None:
-        while (
-            self._admitted_at
-            and now - self._admitted_at[0] > RATE_WINDOW_SECONDS
-        ):
-            self._admitted_at.popleft()
+        self._expire(now)
         if inputs.leaving:
             return Refusal.LEAVING
         if inputs.data_centre_drained:
@@ -92,7 +117,10 @@
             return Refusal.UNRESPONSIVE
         if held >= inputs.connection_limit:
             return Refusal.FULL
-        if load >= inputs.backlog_limit:
+        if (
+            not inputs.granted
+            and load + inputs.reserved >= inputs.backlog_limit
+        ):
             return Refusal.BUSY
         rate = inputs.warm_up_rate
         if rate is not None and len(self._admitted_at) >= max(1, int(rate)):
--- a/src/ragwortpost/datapath/connection/_upstream_selection.py
+++ b/src/ragwortpost/datapath/connection/_upstream_selection.py
@@ -122,7 +122,7 @@
     eligible = [
         candidate
         for candidate in candidates
-        if _has_room(candidate) and candidate.agent not in tried
+        if has_room(candidate) and candidate.agent not in tried
     ]
     if not eligible:
         return None
@@ -149,7 +149,8 @@
     return select_upstream([*local, *remote()], tried, rng)
 
 
-def _has_room(candidate: Candidate) -> bool:
+def has_room(candidate: Candidate) -> bool:
+    """Return whether a candidate may get another flow."""
     if candidate.limit is None:
         return candidate.load < backlog_limit(candidate.slots)
     return candidate.load < candidate.limit
--- a/src/ragwortpost/datapath/connection/_waiting_policy.py
+++ b/src/ragwortpost/datapath/connection/_waiting_policy.py
@@ -28,6 +28,8 @@
 # Maximum wait of a new flow: callers abandon it after 1.4 s, and the outcome
 # has to reach them before.
 MAX_WAIT_SECONDS: Final = 1.3
+# Minimum time between two decisions about one waiting flow.
+MIN_REVIEW_SECONDS: Final = 0.02
 # Share of a route's target that a flow may spend waiting; the rest is left for
 # its request, which still has to queue at an upstream.
 TARGET_SHARE: Final = 1 - BACKLOG_TARGET_SHARE
@@ -128,3 +130,20 @@
     if congestion.rate is None:
         return False
     return waited + (ahead + 1) / congestion.rate > useful
+
+
+def refusal_time(
+    limits: WaitLimits, started_at: float, now: float, *, returning: bool
+) -> float:
+    """Return when it is decided again whether a waiting flow is refused.
+
+    ``started_at`` is the time of the caller's first packet. A flow that is not
+    refused at that time gets another one, at the end of its longest wait at the
+    latest.
+    """
+    longest = max_wait(limits)
+    if returning:
+        return started_at + longest
+    useful = min(limits.target * TARGET_SHARE, longest)
+    review = max(started_at + useful, now + max(useful, MIN_REVIEW_SECONDS))
+    return min(review, started_at + longest)
--- /dev/null
+++ b/src/ragwortpost/datapath/connection/_waiting_queue.py
@@ -0,0 +1,158 @@
+"""The new flows of one service that wait at an entry, in order.
+
+More urgent priorities come first, and the earliest deadline within a priority.
+The flows of a priority are a sorted list and not a heap, so that the number of
+flows before a new one is known also where it is not the last.
+"""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import Final, TypeAlias
+
+from ragwortpost.datapath.connection._packet import (
+    FlowKey,
+    RouteKey,
+    route_key_of,
+)
+from ragwortpost.datapath.connection._room_grants import Demand
+
+# A refused caller that returns within this time keeps its place.
+RETURN_TIME_SECONDS: Final = 2.0
+
+# Deadline and a serial number, which orders equal deadlines by arrival.
+_Place: TypeAlias = tuple[float, int, FlowKey]
+_CallerKey: TypeAlias = tuple[bytes, RouteKey]
+_ADDRESS_BYTES: Final = 4
+
+
+class WaitingQueue:
+    """The waiting flows of one service."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._places: dict[int, list[_Place]] = {}
+        self._by_flow: dict[FlowKey, tuple[int, _Place]] = {}
+        self._next_serial = 0
+
+    def __len__(self) -> int:
+        """Return the number of waiting flows."""
+        return len(self._by_flow)
+
+    @property
+    def counts(self) -> Mapping[int, int]:
+        """Number of waiting flows, by priority."""
+        return {
+            priority: len(places) for priority, places in self._places.items()
+        }
+
+    def add(self, flow: FlowKey, priority: int, deadline: float) -> None:
+        """Add a flow that does not wait yet."""
+        place = (deadline, self._next_serial, flow)
+        self._next_serial += 1
+        insort(self._places.setdefault(priority, []), place)
+        self._by_flow[flow] = (priority, place)
+
+    def remove(self, flow: FlowKey) -> None:
+        """Remove a flow, if it waits."""
+        known = self._by_flow.pop(flow, None)
+        if known is None:
+            return
+        priority, place = known
+        places = self._places[priority]
+        places.pop(bisect_left(places, place))
+        if not places:
+            self._places.pop(priority)
+
+    def first(self) -> FlowKey | None:
+        """Return the flow whose turn it is, or none if no flow waits."""
+        if not self._places:
+            return None
+        return self._places[min(self._places)][0][2]
+
+    def has_before(self, priority: int) -> bool:
+        """Return whether a flow of this or a more urgent priority waits."""
+        return bool(self._places) and min(self._places) <= priority
+
+    def ahead(self, priority: int, deadline: float) -> int:
+        """Return how many flows of a priority come before a deadline."""
+        places = self._places.get(priority, [])
+        return bisect_left(places, (deadline, self._next_serial, b''))
+
+    def demand(self) -> Demand | None:
+        """Return what agents are told, or none if no flow waits."""
+        if not self._places:
+            return None
+        priority = min(self._places)
+        deadline = self._places[priority][0][0]
+        return Demand(len(self), priority, deadline)
+
+
+class RefusalTimes:
+    """The times at which it is decided again whether a flow is refused."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._times: dict[FlowKey, float] = {}
+        self._heap: list[tuple[float, FlowKey]] = []
+
+    def schedule(self, flow: FlowKey, at: float) -> None:
+        """Set the time of a flow, in monotonic seconds."""
+        self._times[flow] = at
+        heappush(self._heap, (at, flow))
+
+    def remove(self, flow: FlowKey) -> None:
+        """Forget a flow that does not wait any more."""
+        self._times.pop(flow, None)
+
+    def pop_due(self, now: float) -> Iterator[FlowKey]:
+        """Remove and yield the flows whose time has come."""
+        while self._heap and self._heap[0][0] <= now:
+            at, flow = heappop(self._heap)
+            if self._times.get(flow) == at:
+                self._times.pop(flow)
+                yield flow
+
+
+@dataclass(frozen=True, slots=True)
+class _Refused:
+    """A refused flow of a caller."""
+
+    # Monotonic seconds of the caller's first attempt, and of the refusal.
+    arrived_at: float
+    refused_at: float
+
+
+class RefusedCallers:
+    """The callers that were refused a moment ago, by address and route."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._refused: dict[_CallerKey, _Refused] = {}
+
+    def record(self, flow: FlowKey, arrived_at: float, now: float) -> None:
+        """Record that a flow was refused that arrived at a time."""
+        key = (flow[:_ADDRESS_BYTES], route_key_of(flow))
+        self._refused.pop(key, None)
+        self._refused[key] = _Refused(arrived_at, now)
+        self._expire(now)
+
+    def arrival(self, flow: FlowKey, now: float) -> float:
+        """Return the time of arrival that gives a new flow its place.
+
+        A refusal counts for one flow: the caller may have others.
+        """
+        self._expire(now)
+        key = (flow[:_ADDRESS_BYTES], route_key_of(flow))
+        refused = self._refused.pop(key, None)
+        if refused is None or now - refused.arrived_at > RETURN_TIME_SECONDS:
+            return now
+        return refused.arrived_at
+
+    def _expire(self, now: float) -> None:
+        while self._refused:
+            key, refused = next(iter(self._refused.items()))
+            if now - refused.refused_at <= RETURN_TIME_SECONDS:
+                return
+            self._refused.pop(key)
