Offer new flows to three agents, and let them wait for granted room

Cause: an entry asked one full agent after another for each new flow, every tick examined every waiting flow, and select walked over all upstreams of the service for each attempt.

Agents of a bounded set are told the demand; AgentRoom (out of Agent) grants free room. A waiting flow is offered directly only to an upstream with a free slot. It is decided on arrival and at the time of refusal whether a flow is refused. A caller's data or reset ends the wait of its flow, and a flow that an agent may have delivered without a reply is not refused. Entries select by an index of upstreams by load.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -50,6 +50,7 @@
     OutgoingQuery,
     QueryBatcher,
 )
+from ragwortpost.datapath.connection._refusal_pauses import RefusalPauses
 from ragwortpost.datapath.connection._registration import (
     RegistrationQueue,
     registrars_of,
@@ -119,6 +120,7 @@
     'PendingFlows',
     'QueryBatcher',
     'Refusal',
+    'RefusalPauses',
     'RefusalTimes',
     'RefusedCallers',
     'RegistrationQueue',
--- a/src/ragwortpost/datapath/connection/_pending_flows.py
+++ b/src/ragwortpost/datapath/connection/_pending_flows.py
@@ -17,8 +17,18 @@
     # Monotonic seconds at which it was last sent to an agent; its arrival if
     # it was not sent yet.
     last_attempt_at: float
+    # Monotonic seconds of the arrival that gives it its place among waiting
+    # flows.
+    arrived_at: float
+    # Orders the flows of an entry that arrive at the same time.
+    number: int
     # Agents that it was sent to since it last waited for room.
     tried: list[str] = field(default_factory=list)
+    # Whether it has waited for room.
+    has_waited: bool = False
+    # Agents that did not reply in time since the caller's last packet; one of
+    # them may have delivered it.
+    unanswered: set[str] = field(default_factory=set)
 
 
 class PendingFlows:
@@ -26,13 +36,14 @@
 
     A flow either awaits the reply of the agent it was last sent to, or waits
     for an upstream with room. Flows that await a reply are ordered by their
-    last attempt, waiting ones by when they last began to wait.
+    last attempt; :class:`WaitingQueue` has the order of the waiting ones.
     """
 
     def __init__(self) -> None:
         """Start empty."""
         self._attempted: dict[FlowKey, PendingFlow] = {}
         self._waiting: dict[FlowKey, PendingFlow] = {}
+        self._added = 0
 
     def __len__(self) -> int:
         """Return the number of pending flows."""
@@ -46,9 +57,15 @@
         """Return whether a flow waits for an upstream with room."""
         return flow in self._waiting
 
-    def add(self, packet: Packet, now: float) -> PendingFlow:
+    def add(
+        self, packet: Packet, now: float, arrived_at: float | None = None
+    ) -> PendingFlow:
         """Add a new flow; it waits until an attempt is recorded."""
-        pending = PendingFlow(packet, now - packet.flow_age, now)
+        arrived_at = now if arrived_at is None else arrived_at
+        pending = PendingFlow(
+            packet, now - packet.flow_age, now, arrived_at, self._added
+        )
+        self._added += 1
         self._waiting[packet.flow] = pending
         return pending
 
@@ -65,6 +82,7 @@
         """Mark a flow as waiting for room; all agents may be tried again."""
         self.remove(pending.packet.flow)
         pending.tried.clear()
+        pending.has_waited = True
         self._waiting[pending.packet.flow] = pending
 
     def remove(self, flow: FlowKey) -> None:
@@ -80,5 +98,5 @@
             yield pending
 
     def waiting(self) -> Iterator[PendingFlow]:
-        """Yield the flows that wait for room, least recently marked first."""
-        yield from list(self._waiting.values())
+        """Yield the flows that wait for room."""
+        yield from self._waiting.values()
--- a/src/ragwortpost/datapath/connection/_room_grants.py
+++ b/src/ragwortpost/datapath/connection/_room_grants.py
@@ -95,16 +95,16 @@
         # answered.
         self._opening: dict[FlowKey, float] = {}
 
-    @property
-    def granted(self) -> int:
-        """Flows that are granted and not used, as of the last call."""
-        return self._granted
-
     @property
     def has_demands(self) -> bool:
         """Whether any entry waits for room."""
         return bool(self._order)
 
+    def granted(self, now: float) -> int:
+        """Return the number of flows that are granted and not used."""
+        self._expire(now)
+        return self._granted
+
     def reserved(self, now: float) -> int:
         """Return the room in use by grants and by unanswered new flows."""
         self._expire(now)
--- a/src/ragwortpost/datapath/connection/_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/_waiting_queue.py
@@ -21,8 +21,9 @@
 # A refused caller that returns within this time keeps its place.
 RETURN_TIME_SECONDS: Final = 2.0
 
-# Deadline and a serial number, which orders equal deadlines by arrival.
-_Place: TypeAlias = tuple[float, int, FlowKey]
+# Deadline of a flow and its number, which orders equal deadlines by arrival.
+Place: TypeAlias = tuple[float, int]
+_QueuedFlow: TypeAlias = tuple[Place, FlowKey]
 _CallerKey: TypeAlias = tuple[bytes, RouteKey]
 _ADDRESS_BYTES: Final = 4
 
@@ -32,9 +33,8 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._places: dict[int, list[_Place]] = {}
-        self._by_flow: dict[FlowKey, tuple[int, _Place]] = {}
-        self._next_serial = 0
+        self._places: dict[int, list[_QueuedFlow]] = {}
+        self._by_flow: dict[FlowKey, tuple[int, _QueuedFlow]] = {}
 
     def __len__(self) -> int:
         """Return the number of waiting flows."""
@@ -47,21 +47,20 @@
             priority: len(places) for priority, places in self._places.items()
         }
 
-    def add(self, flow: FlowKey, priority: int, deadline: float) -> None:
+    def add(self, flow: FlowKey, priority: int, place: Place) -> None:
         """Add a flow that does not wait yet."""
-        place = (deadline, self._next_serial, flow)
-        self._next_serial += 1
-        insort(self._places.setdefault(priority, []), place)
-        self._by_flow[flow] = (priority, place)
+        queued = (place, flow)
+        insort(self._places.setdefault(priority, []), queued)
+        self._by_flow[flow] = (priority, queued)
 
     def remove(self, flow: FlowKey) -> None:
         """Remove a flow, if it waits."""
         known = self._by_flow.pop(flow, None)
         if known is None:
             return
-        priority, place = known
+        priority, queued = known
         places = self._places[priority]
-        places.pop(bisect_left(places, place))
+        places.pop(bisect_left(places, queued))
         if not places:
             self._places.pop(priority)
 
@@ -69,23 +68,23 @@
         """Return the flow whose turn it is, or none if no flow waits."""
         if not self._places:
             return None
-        return self._places[min(self._places)][0][2]
+        return self._places[min(self._places)][0][1]
 
     def has_before(self, priority: int) -> bool:
         """Return whether a flow of this or a more urgent priority waits."""
         return bool(self._places) and min(self._places) <= priority
 
-    def ahead(self, priority: int, deadline: float) -> int:
-        """Return how many flows of a priority come before a deadline."""
+    def ahead(self, priority: int, place: Place) -> int:
+        """Return how many flows of a priority come before a place."""
         places = self._places.get(priority, [])
-        return bisect_left(places, (deadline, self._next_serial, b''))
+        return bisect_left(places, (place, b''))
 
     def demand(self) -> Demand | None:
         """Return what agents are told, or none if no flow waits."""
         if not self._places:
             return None
         priority = min(self._places)
-        deadline = self._places[priority][0][0]
+        deadline = self._places[priority][0][0][0]
         return Demand(len(self), priority, deadline)
 
 
--- a/src/ragwortpost/datapath/connection/tests/test_room_grants.py
+++ b/src/ragwortpost/datapath/connection/tests/test_room_grants.py
@@ -104,7 +104,7 @@
         ledger.demand('a', 1)
         ledger.grant()
         assert ledger.admit(flow_key(), 'a', LATER, 0.1)
-        assert ledger.granted == 0
+        assert ledger.granted(0.1) == 0
         assert ledger.reserved(0.1) == 1
         ledger.settle(flow_key())
         assert ledger.reserved(0.1) == 0
--- a/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
@@ -27,10 +27,9 @@
 
     def queue(self) -> WaitingQueue:
         queue = WaitingQueue()
-        for flow, priority, deadline in zip(
-            FLOWS, (2, 2, 1, 1, 2), (0.1, 0.3, 0.9, 0.8, 0.1), strict=True
-        ):
-            queue.add(flow, priority, deadline)
+        priorities, deadlines = (2, 2, 1, 1, 2), (0.1, 0.3, 0.9, 0.8, 0.1)
+        for number, flow in enumerate(FLOWS):
+            queue.add(flow, priorities[number], (deadlines[number], number))
         return queue
 
     def test_each_flow_has_its_turn(self) -> None:
@@ -44,9 +43,9 @@
 
     def test_the_flows_before_a_new_one_are_counted(self) -> None:
         queue = self.queue()
-        assert queue.ahead(2, 0.1) == 2
-        assert queue.ahead(2, 0.05) == 0
-        assert queue.ahead(1, 1.0) == 2
+        assert queue.ahead(2, (0.1, 9)) == 2
+        assert queue.ahead(2, (0.05, 9)) == 0
+        assert queue.ahead(1, (1.0, 9)) == 2
         assert queue.has_before(1)
         assert not queue.has_before(0)
 
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -4,7 +4,6 @@
 that the upstream holds.
 """
 
-import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime, timedelta
@@ -12,8 +11,6 @@
 
 from ragwortpost._datagrams import HostPort, SendDatagram
 from ragwortpost.datapath.connection import (
-    Admission,
-    AdmissionInputs,
     FlowCache,
     FlowKey,
     HeldFlows,
@@ -24,11 +21,10 @@
     RegistrationQueue,
     UnconfirmedPackets,
     UpstreamLiveness,
-    backlog_limit,
     caller_address,
     registrars_of,
-    route_key_of,
 )
+from ragwortpost.datapath.process._agent_room import AgentRoom
 from ragwortpost.datapath.process._codec import batch_flows, encode
 from ragwortpost.datapath.process._messages import (
     FlowQuery,
@@ -47,8 +43,6 @@
 # A held flow without packets for this time is removed. Exceeds the idle limit
 # of the configuration, so that no flow is removed that may still be in use.
 FLOW_IDLE_SECONDS: Final = 30.0
-# Maximum flows of an upstream until a configuration is known.
-DEFAULT_CONNECTION_LIMIT: Final = 2000
 # Interval between sweeps for idle flows.
 SWEEP_INTERVAL_SECONDS: Final = 1.0
 # Registrations are kept for at least this time, the age after which a flow may
@@ -82,8 +76,11 @@
         self._held_flows = HeldFlows(
             context.settings.first_start, FLOW_IDLE_SECONDS
         )
-        self._admission = Admission()
         self._upstream_liveness = UpstreamLiveness()
+        # Admits new flows and grants room for them.
+        self.room: Final = AgentRoom(
+            context, side.service, self._held_flows, self._upstream_liveness
+        )
         self._unconfirmed = UnconfirmedPackets()
         self._registration_queue = RegistrationQueue()
         now = context.clock.monotonic()
@@ -93,7 +90,6 @@
         self._send_to_peer: SendDatagram | None = None
         self._started_at = context.clock.now()
         context.state.subscribe(self._check_upstream_start)
-        self._is_stopping: Callable[[], bool] = bool
 
     @property
     def load(self) -> int:
@@ -116,6 +112,7 @@
             'flows_held': len(self._held_flows),
             'load': self.load,
             'pace_seconds': self.pace_ms / _MS,
+            **self.room.gauges(),
         }
 
     def open(
@@ -130,7 +127,7 @@
         """
         self._send_outbound = outbound
         self._send_to_peer = to_peer
-        self._is_stopping = is_stopping
+        self.room.open(to_peer, is_stopping)
 
     def receive_forward(self, forward: Forward, entry: str) -> None:
         """Handle a packet that an entry forwards or another agent relays."""
@@ -194,6 +191,7 @@
             self._handle_returned(packet)
         else:
             self._handle_response(packet)
+        self.room.grant()
 
     def tick(self) -> None:
         """Register flows that are due and remove expired state.
@@ -210,6 +208,7 @@
         if self._is_upstream_gone():
             self._deny_unconfirmed()
         self._unconfirmed.expire(now)
+        self.room.grant()
 
     def _deny_unconfirmed(self) -> None:
         for flow, entries in self._unconfirmed.pop_all().items():
@@ -288,20 +287,13 @@
         packet: Packet,
         entry: str,
     ) -> None:
-        now = self._clock.monotonic()
         held = self._held_flows.get(packet.flow)
         if held is not None or packet.flow in self._unconfirmed:
             # A retransmission of an admitted packet.
             self._deliver_unconfirmed(packet, entry)
             return
         if forward.service == self._service_tag:
-            inputs = self._admission_inputs(packet.flow)
-            refusal = self._admission.decide(
-                inputs,
-                len(self._held_flows),
-                self.load,
-                now,
-            )
+            refusal = self.room.admit(packet.flow, entry)
         else:
             refusal = Refusal.WRONG_SERVICE
         if refusal is None:
@@ -309,39 +301,6 @@
         else:
             self._refuse(refusal, packet, entry)
 
-    def _admission_inputs(self, flow: FlowKey) -> AdmissionInputs:
-        fleet = self._state.fleet
-        route = fleet.routes.get(route_key_of(flow))
-        pace = self._held_flows.pace(self._clock.monotonic())
-        upstream = fleet.upstreams_by_host.get(self._settings.host)
-        policy = fleet.services.get(self._upstream_side.service)
-        limit = policy.connection_limit if policy else DEFAULT_CONNECTION_LIMIT
-        warm_up_rate = None
-        if (
-            upstream is not None
-            and self._state.warm_up_left(upstream.ident) > 0
-        ):
-            warm_up_rate = policy.warm_up_rate if policy else None
-        deregistered = upstream is None and fleet.configuration is not None
-        return AdmissionInputs(
-            leaving=self._is_stopping()
-            or deregistered
-            or (upstream is not None and upstream.leaving),
-            data_centre_drained=self._settings.data_centre
-            in fleet.drained_data_centres,
-            upstream_unresponsive=self._upstream_liveness.should_skip_new_flow(
-                self._clock.monotonic()
-            ),
-            warm_up_rate=warm_up_rate,
-            connection_limit=limit,
-            backlog_limit=backlog_limit(
-                upstream.slots if upstream else 1,
-                pace,
-                route.target if route else math.inf,
-                urgent=fleet.is_urgent(flow),
-            ),
-        )
-
     def _deliver_unconfirmed(self, packet: Packet, entry: str) -> None:
         """Deliver a packet and record the entry that waits for the outcome."""
         now = self._clock.monotonic()
@@ -351,6 +310,7 @@
 
     def _handle_response(self, packet: Packet) -> None:
         now = self._clock.monotonic()
+        self.room.settle(packet.flow)
         if packet.resets and self._is_denial(packet.flow):
             self._held_flows.on_returned_packet(packet, now)
             for waiting_entry in self._unconfirmed.pop(packet.flow):
@@ -380,6 +340,7 @@
     def _handle_returned(self, packet: Packet) -> None:
         now = self._clock.monotonic()
         self._events['returned'] += 1
+        self.room.settle(packet.flow)
         held = self._held_flows.on_returned_packet(packet, now)
         entries = self._unconfirmed.pop(packet.flow)
         if packet.opens:
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -24,7 +24,10 @@
     FlowQueryReply,
     Forward,
     ForwardReply,
+    Message,
     Registration,
+    RoomDemand,
+    RoomGrant,
 )
 from ragwortpost.datapath.process._node_context import make_context
 from ragwortpost.datapath.process._node_settings import (
@@ -251,26 +254,29 @@
 
     def _dispatch_datagram(self, datagram: bytes, sender: HostPort) -> None:
         host = sender[0]
-        match decode(datagram):
-            case Forward() as forward if self._agent is not None:
-                self._agent.receive_forward(forward, host)
-            case Registration() as registration if self._agent is not None:
-                self._agent.receive_registration(registration, host)
-            case FlowQuery() as query if self._agent is not None:
-                self._agent.receive_query(query, host)
-            case FlowQueryReply() as query_reply if self._entry is not None:
-                self._entry.receive_query_reply(query_reply, host)
-            case ForwardReply() as reply if self._entry is not None:
-                self._entry.receive_forward_reply(reply, host)
+        message = decode(datagram)
+        match message:
             case Digest() | Changes() as gossip_message:
                 self._gossip.receive(gossip_message, host)
+                return
+            case _ if self._entry is not None:
+                handled = _receive_at_entry(self._entry, message, host)
+            case _ if self._agent is not None:
+                handled = _receive_at_agent(self._agent, message, host)
             case _:
-                self._log.write('datagram_unreadable', peer=host)
+                handled = False
+        if not handled:
+            self._log.write('datagram_unreadable', peer=host)
+
+    def _has_pending(self) -> bool:
+        """Return whether flows or entries wait, which needs short ticks."""
+        if self._entry is not None:
+            return self._entry.has_pending
+        return self._agent is not None and self._agent.room.has_demands
 
     async def _run_ticks(self) -> None:
         while True:
-            entry = self._entry
-            has_pending = entry is not None and entry.has_pending
+            has_pending = self._has_pending()
             interval = TICK_SECONDS if has_pending else IDLE_TICK_SECONDS
             started = self._clock.monotonic()
             await asyncio.sleep(interval)
@@ -291,6 +297,36 @@
             await asyncio.sleep(1)
 
 
+def _receive_at_entry(entry: Entry, message: Message | None, host: str) -> bool:
+    """Let an entry handle a message; return false if it is not for one."""
+    match message:
+        case FlowQueryReply():
+            entry.receive_query_reply(message, host)
+        case ForwardReply():
+            entry.receive_forward_reply(message, host)
+        case RoomGrant():
+            entry.receive_grant(message, host)
+        case _:
+            return False
+    return True
+
+
+def _receive_at_agent(agent: Agent, message: Message | None, host: str) -> bool:
+    """Let an agent handle a message; return false if it is not for one."""
+    match message:
+        case Forward():
+            agent.receive_forward(message, host)
+        case Registration():
+            agent.receive_registration(message, host)
+        case FlowQuery():
+            agent.receive_query(message, host)
+        case RoomDemand():
+            agent.room.receive_demand(message, host)
+        case _:
+            return False
+    return True
+
+
 async def run_node(settings: NodeSettings, ports: PlatformPorts) -> None:
     """Run an entry or an agent until SIGTERM or SIGINT.
 
--- a/src/ragwortpost/datapath/process/_peer_directory.py
+++ b/src/ragwortpost/datapath/process/_peer_directory.py
@@ -1,6 +1,6 @@
 """The other packet-level processes, as known from their messages."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -50,6 +50,11 @@
         self._advertised: dict[str, float] = {}
         self._timed_out: dict[str, float] = {}
         self._last_attempts: dict[str, float] = {}
+        self._load_listeners: list[Callable[[str], None]] = []
+
+    def subscribe_loads(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the address of a process on a load change."""
+        self._load_listeners.append(listener)
 
     def replace_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses to contact before any digest arrives."""
@@ -82,6 +87,7 @@
             known.load = digest.load
             known.pace = digest.pace_ms / _MS
             known.load_updated_at = now
+        self._notify_load(host)
         for entry in digest.entries:
             if entry != self._host:
                 self._advertised[entry] = now
@@ -150,6 +156,7 @@
             peer.load = load
             peer.pace = pace_ms / _MS
             peer.load_updated_at = now
+            self._notify_load(host)
 
     def count_assigned_flow(self, host: str, now: float) -> None:
         """Add a new flow to a process's load until its next report."""
@@ -158,6 +165,7 @@
         if peer is not None:
             peer.load += 1
             peer.load_updated_at = now
+        self._notify_load(host)
 
     def entries(self, now: float) -> Sequence[str]:
         """Return the addresses of other entries that may be running."""
@@ -193,3 +201,7 @@
             for host, timestamp in list(timestamps.items()):
                 if now - timestamp > FORGET_AFTER_SECONDS:
                     timestamps.pop(host)
+
+    def _notify_load(self, host: str) -> None:
+        for listener in self._load_listeners:
+            listener(host)
--- /dev/null
+++ b/src/ragwortpost/datapath/process/_upstream_index.py
@@ -0,0 +1,137 @@
+"""Keeps the upstreams of each class of flows ordered by load, in an entry.
+
+A load report updates the place of one upstream. What changes with time alone
+is checked when an upstream is selected, and for all upstreams now and then.
+"""
+
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from typing import Final, TypeAlias
+
+from ragwortpost._clock import Clock
+from ragwortpost.datapath.connection import Candidate, LoadIndex, load_score
+from ragwortpost.datapath.process._fleet_state import FleetState
+from ragwortpost.datapath.version import FleetIndex, UpstreamEntry
+
+# All upstreams are evaluated again after this time, e.g. as a warm-up ends or a
+# load report is outdated.
+REBUILD_SECONDS: Final = 0.5
+# Upstreams that may get no flows at the moment are evaluated again after this
+# time, which is shorter than a tick.
+RETRY_SECONDS: Final = 0.015
+
+
+@dataclass(frozen=True, slots=True)
+class FlowClass:
+    """Flows for which the same upstreams are candidates."""
+
+    service: str
+    # Seconds within which the route's requests should be answered.
+    target: float
+    # Whether its service also has less urgent routes.
+    urgent: bool
+    # Whether only upstreams with a free slot are candidates.
+    idle: bool = False
+
+
+# Returns the candidate that an upstream is, or none if it gets no flows.
+Evaluate: TypeAlias = Callable[[UpstreamEntry, FlowClass], Candidate | None]
+
+
+@dataclass(slots=True)
+class _ClassIndex:
+    """The candidates of one class of flows."""
+
+    loads: LoadIndex
+    # The fleet at the time when all upstreams were evaluated.
+    fleet: FleetIndex
+    built_at: float
+    # Agents whose load was reported since the last selection.
+    changed: set[str] = field(default_factory=set)
+    # Agents of upstreams that may get no flows at the moment.
+    unavailable: set[str] = field(default_factory=set)
+    # Monotonic seconds at which these were evaluated.
+    retried_at: float = 0
+
+
+class UpstreamIndex:
+    """The candidates of all classes of flows."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: FleetState,
+        rng: random.Random,
+        evaluate: Evaluate,
+    ) -> None:
+        """Initialize with the view and the evaluation of upstreams."""
+        self._clock = clock
+        self._state = state
+        self._rng = rng
+        self._evaluate = evaluate
+        self._classes: dict[FlowClass, _ClassIndex] = {}
+
+    def on_load_change(self, agent: str) -> None:
+        """Record that the load of an agent has changed."""
+        for index in self._classes.values():
+            index.changed.add(agent)
+
+    def select(
+        self, flow_class: FlowClass, tried: Collection[str]
+    ) -> Candidate | None:
+        """Return the least loaded upstream with room that was not tried."""
+        index = self._refresh(flow_class)
+        found = index.loads.best(tried)
+        while found is not None:
+            # Its place may be outdated by the time that has passed.
+            candidate = self._update(index, flow_class, found.agent)
+            if candidate is not None and _is_as_good(candidate, found):
+                return candidate
+            found = index.loads.best(tried)
+        return None
+
+    def _refresh(self, flow_class: FlowClass) -> _ClassIndex:
+        now = self._clock.monotonic()
+        fleet = self._state.fleet
+        index = self._classes.get(flow_class)
+        if (
+            index is None
+            or index.fleet is not fleet
+            or now - index.built_at >= REBUILD_SECONDS
+        ):
+            index = _ClassIndex(LoadIndex(self._rng), fleet, now)
+            self._classes[flow_class] = index
+            for upstream in fleet.upstreams.get(flow_class.service, ()):
+                self._update(index, flow_class, upstream.host)
+            return index
+        if now - index.retried_at >= RETRY_SECONDS:
+            index.retried_at = now
+            index.changed |= index.unavailable
+            index.unavailable.clear()
+        for agent in index.changed:
+            self._update(index, flow_class, agent)
+        index.changed.clear()
+        return index
+
+    def _update(
+        self, index: _ClassIndex, flow_class: FlowClass, agent: str
+    ) -> Candidate | None:
+        """Evaluate an upstream; return its candidate if there is one."""
+        upstream = self._state.fleet.upstreams_by_host.get(agent)
+        if upstream is None or upstream.service != flow_class.service:
+            index.loads.discard(agent)
+            return None
+        candidate = self._evaluate(upstream, flow_class)
+        if candidate is None:
+            index.loads.discard(agent)
+            index.unavailable.add(agent)
+            return None
+        index.loads.put(candidate)
+        return candidate
+
+
+def _is_as_good(candidate: Candidate, found: Candidate) -> bool:
+    if load_score(candidate) > load_score(found):
+        return False
+    return candidate.limit is None or candidate.load < candidate.limit
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -31,6 +31,8 @@
     Forward,
     ForwardReply,
     Registration,
+    RoomDemand,
+    RoomGrant,
 )
 from ragwortpost.datapath.process._node_context import NodeContext, make_context
 from ragwortpost.datapath.version import Changes, Record, UpstreamEntry
@@ -283,6 +285,12 @@
                 case ForwardReply() as reply:
                     entry = self.entry_nodes[address[0]]
                     entry.receive_forward_reply(reply, sender)
+                case RoomDemand() as demand:
+                    room = self.agents[address[0]].room
+                    room.receive_demand(demand, sender)
+                case RoomGrant() as grant:
+                    entry = self.entry_nodes[address[0]]
+                    entry.receive_grant(grant, sender)
             return True
 
         return send
--- /dev/null
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -0,0 +1,165 @@
+"""Tests of room that agents grant to the waiting flows of entries.
+
+Guards against opening packets sent to one full agent after another, flows that
+wait although room was granted or an upstream is idle, room that stays reserved
+after a loss or a restart, and refused callers that lose their place.
+"""
+
+import pytest
+
+from ragwortpost.datapath.connection import FlowKey
+from ragwortpost.datapath.connection.tests.packets import (
+    flow_key,
+    make_packet,
+    opening_packet,
+)
+from ragwortpost.datapath.process._messages import RoomDemand, service_tag
+from ragwortpost.datapath.process.tests.network import ENTRY, Network
+from ragwortpost.datapath.version.tests.documents import upstream
+
+AGENT = '10.0.0.1'
+SECOND_ENTRY = '10.0.1.2'
+# Flows that an upstream with two slots has room for.
+ROOM = 8
+
+
+def full_network(upstreams: int = 1) -> Network:
+    """Return a network without room, and with a flow that waits."""
+    network = Network(*(upstream(number + 1) for number in range(upstreams)))
+    for number in range(ROOM * upstreams):
+        network.send_packet(opening_packet(flow_key(number)))
+        # Its request has no response yet.
+        fake = network.upstreams[network.holder(flow_key(number))]
+        sequence = fake.flows[flow_key(number)]
+        fake.responds = False
+        network.send_packet(
+            make_packet(flow_key(number), length=9, acknowledged=sequence + 1)
+        )
+        fake.responds = True
+    network.send_packet(opening_packet(flow_key(ROOM * upstreams)))
+    return network
+
+
+def end_flow(network: Network, flow: FlowKey) -> None:
+    """Let the upstream of a flow end it, and its request with it."""
+    fake = network.upstreams[network.holder(flow)]
+    fake.send(make_packet(flow, finishes=True))
+
+
+def is_open(network: Network, flow: FlowKey) -> bool:
+    return any(flow in fake.flows for fake in network.upstreams.values())
+
+
+class TestGrants:
+    """Room that becomes free is granted to an entry, whose flow uses it."""
+
+    def test_a_waiting_flow_gets_the_room_of_one_that_ends(self) -> None:
+        network = full_network()
+        assert not is_open(network, flow_key(ROOM))
+        network.sent.clear()
+        end_flow(network, flow_key(0))
+        assert is_open(network, flow_key(ROOM))
+        # The grant, the opening packet and the reply to it.
+        assert len(network.sent) == 3
+
+    def test_an_arrival_beside_waiting_flows_sends_nothing(self) -> None:
+        network = full_network(3)
+        network.sent.clear()
+        for number in range(100, 200):
+            network.send_packet(opening_packet(flow_key(number)))
+        assert not network.sent
+
+    def test_ticks_send_a_bounded_number_of_demands(self) -> None:
+        network = full_network(40)
+        network.sent.clear()
+        for _ in range(5):
+            network.clock.time += 0.02
+            network.entry.tick()
+        assert len(network.sent) <= 16
+
+    def test_a_full_fleet_gets_three_offers_of_a_flow(self) -> None:
+        network = Network(*(upstream(number) for number in range(1, 21)))
+        for fake in network.upstreams.values():
+            fake.accepts = False
+        network.sent.clear()
+        network.send_packet(opening_packet(flow_key()))
+        offers = sum(len(fake.received) for fake in network.upstreams.values())
+        # Three by load, and those that the agents have granted meanwhile.
+        assert offers <= 3 + 16
+
+    def test_a_demand_for_another_service_is_ignored(self) -> None:
+        network = Network(upstream(1))
+        demand = RoomDemand(service_tag('other'), 1, 0, 100)
+        network.agents[AGENT].room.receive_demand(demand, ENTRY)
+        assert not network.agents[AGENT].room.has_demands
+
+
+class TestFailures:
+    """Lost grants and stopped processes cost a bounded time."""
+
+    def demand(self, network: Network, entry: str) -> None:
+        demand = RoomDemand(service_tag('desk'), 9, 0, 100)
+        network.agents[AGENT].room.receive_demand(demand, entry)
+
+    def test_room_granted_to_a_frozen_entry_is_free_again(self) -> None:
+        network = Network(upstream(1, slots=1))
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        self.demand(network, SECOND_ENTRY)
+        for number in range(4):
+            network.send_packet(opening_packet(flow_key(number)))
+        assert not is_open(network, flow_key(0))
+        for _ in range(10):
+            network.advance(0.02)
+        assert is_open(network, flow_key(0))
+
+    def test_a_restarted_agent_decides_on_its_room(self) -> None:
+        network = Network(upstream(1, slots=1))
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        self.demand(network, SECOND_ENTRY)
+        network.start_agent(network.documents[0], restarted=True)
+        network.send_packet(opening_packet(flow_key()))
+        assert is_open(network, flow_key())
+
+    def test_flows_wait_for_others_than_an_agent_that_is_cut_off(self) -> None:
+        network = full_network(2)
+        network.unreachable.add('10.0.0.2')
+        ended = next(iter(network.upstreams[AGENT].flows))
+        end_flow(network, ended)
+        assert flow_key(2 * ROOM) in network.upstreams[AGENT].flows
+
+
+class TestEndOfWait:
+    """How the wait of a flow ends without an upstream."""
+
+    def test_a_caller_that_ends_its_flow_does_not_wait(self) -> None:
+        network = full_network()
+        network.send_packet(make_packet(flow_key(ROOM), resets=True))
+        end_flow(network, flow_key(0))
+        assert not is_open(network, flow_key(ROOM))
+
+    def test_a_refused_caller_keeps_its_place(self) -> None:
+        network = full_network()
+        network.advance(0.55)
+        network.send_packet(opening_packet(flow_key(50)))
+        network.advance(0.1)
+        assert [packet.flow for packet in network.resets] == [flow_key(ROOM)]
+        # All callers of these tests have the same address.
+        network.send_packet(opening_packet(flow_key(51)))
+        end_flow(network, flow_key(0))
+        assert is_open(network, flow_key(51))
+        assert not is_open(network, flow_key(50))
+
+    @pytest.mark.parametrize('lost', [True, False])
+    def test_a_refusal_is_true(self, lost: bool) -> None:
+        network = Network(upstream(1))
+        if lost:
+            # The upstream accepts the flow, but the entry gets no reply.
+            network.losing_replies.add(AGENT)
+        else:
+            network.unreachable.add(AGENT)
+        network.send_packet(opening_packet(flow_key()))
+        for _ in range(50):
+            network.advance(0.02)
+        assert not network.resets
