--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -17,6 +17,9 @@
     ControlBudget,
     Traffic,
 )
+from ragwortpost.datapath.connection._demand_schedule import (
+    DemandSchedule,
+)
 from ragwortpost.datapath.connection._flow_cache import FlowCache
 from ragwortpost.datapath.connection._flow_lookups import (
     DIRECT_QUERY_LIMIT,
@@ -41,6 +44,9 @@
     Denials,
     InventoryPart,
 )
+from ragwortpost.datapath.connection._load_index import (
+    LoadIndex,
+)
 from ragwortpost.datapath.connection._packet import (
     FLOW_KEY_BYTES,
     SEQUENCE_MODULUS,
@@ -61,12 +67,19 @@
     OutgoingQuery,
     QueryBatcher,
 )
+from ragwortpost.datapath.connection._refusal_pauses import RefusalPauses
 from ragwortpost.datapath.connection._registration import (
     MAX_REGISTRATIONS_PER_TICK,
     RegistrarTable,
     RegistrationQueue,
     registrars_of,
 )
+from ragwortpost.datapath.connection._room_grants import (
+    GRANT_SECONDS,
+    Demand,
+    Grant,
+    RoomGrants,
+)
 from ragwortpost.datapath.connection._service_pace import ServicePace
 from ragwortpost.datapath.connection._unanswered_queries import (
     UnansweredQueries,
@@ -78,6 +91,7 @@
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
     backlog_limit,
+    has_room,
     load_score,
     select_local_first,
     select_upstream,
@@ -88,31 +102,42 @@
     Congestion,
     WaitLimits,
     max_wait,
+    refusal_time,
     should_refuse,
 )
+from ragwortpost.datapath.connection._waiting_queue import (
+    RefusalTimes,
+    RefusedCallers,
+    WaitingQueue,
+)
 
 __all__ = [
     'DIRECT_QUERY_LIMIT',
     'FLOW_KEY_BYTES',
     'MAX_INVENTORY_FLOWS',
     'MAX_REGISTRATIONS_PER_TICK',
+    'GRANT_SECONDS',
     'SEQUENCE_MODULUS',
     'Admission',
-    'AdmissionRate',
     'AdmissionInputs',
     'AnswerDeferral',
+    'AdmissionRate',
     'Candidate',
     'Congestion',
-    'Denials',
     'ControlBudget',
+    'Demand',
+    'DemandSchedule',
+    'Denials',
     'FlowCache',
     'FlowKey',
     'FlowLookup',
     'FlowLookups',
+    'Grant',
     'HeldFlow',
     'HeldFlows',
     'HolderSearch',
     'InventoryPart',
+    'LoadIndex',
     'OutgoingQuery',
     'Ownership',
     'Packet',
@@ -123,7 +148,11 @@
     'QueryBatcher',
     'Refusal',
     'RegistrarTable',
+    'RefusalPauses',
+    'RefusalTimes',
+    'RefusedCallers',
     'RegistrationQueue',
+    'RoomGrants',
     'RouteKey',
     'ServicePace',
     'Traffic',
@@ -131,14 +160,17 @@
     'UnconfirmedPackets',
     'UpstreamLiveness',
     'WaitLimits',
+    'WaitingQueue',
     'agents_to_query',
     'backlog_limit',
     'caller_address',
     'flow_hash',
     'format_flow',
+    'has_room',
     'load_score',
     'max_wait',
     'parse_flow',
+    'refusal_time',
     'registrars_of',
     'route_key_of',
     'select_local_first',
