Fail a response that breaks off at a peer

Cause: grpclib's recv_message returns None at the end of a stream whatever the status after it. A peer whose upstream broke off in the middle of a response ended the call with UNAVAILABLE, and the caller got the first half as a complete response.

Change: read the status after the last message, and raise IncompleteResponseError unless it is OK.

--- a/src/ragwortpost/process/_peer_rpc.py
+++ b/src/ragwortpost/process/_peer_rpc.py
@@ -231,6 +231,9 @@
         while message is not None:
             yield message.chunk
             message = await stream.recv_message()
+        # A peer that lost its upstream also ends the stream normally; only the
+        # status after the last message shows it.
+        await stream.recv_trailing_metadata()
     except _CONNECTION_ERRORS as error:
         raise IncompleteResponseError(repr(error)) from error
 
