Tell a new flow from an ended one with the same address and port

Cause: an agent regards a flow that either side has ended as held for another 30 seconds. When the caller opened a new flow with the same address and port at another upstream, entries that had cached the old holder or looked the flow up delivered its packets to the old upstream, which returned them, and the agent then reset the new flow. A new flow at the old upstream skipped admission, also at an upstream that is leaving.

Change: an ended flow is no longer held for certain. Its data is delivered unconfirmed, the return of a packet is a denial and no loss, and its next opening packet passes admission. A handshake with another sequence number starts the state of the flow anew. A flow whose handshake the agent has not seen is looked up before it is reset.

--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -56,14 +56,22 @@
     requested_at: float = 0
     # Whether either side has reset the flow or the upstream has finished it.
     closing: bool = False
+    # The upstream's first sequence number; none if its handshake was not seen.
+    accepted_sequence: int | None = None
 
     @property
     def is_established(self) -> bool:
-        """Whether the caller has completed this upstream's handshake.
+        """Whether the flow is open here for certain.
 
-        Until then, the caller may have opened the flow at another upstream.
+        Before the caller has completed the handshake of this upstream, or if
+        the agent has not seen it, or after either side has ended the flow, the
+        caller may have opened a flow with the same key at another upstream.
         """
-        return self.handshake_sequence is None
+        return (
+            self.handshake_sequence is None
+            and self.accepted_sequence is not None
+            and not self.closing
+        )
 
 
 class HeldFlows:
@@ -101,13 +109,18 @@
         self._complete = True
 
     def get(self, flow: FlowKey) -> HeldFlow | None:
-        """Return the state of a flow, or none if it is not recorded."""
-        return self._flows.get(flow)
+        """Return the state of an open flow, or none if it is not recorded.
+
+        A caller may use the key of a flow that is closing for a new one.
+        """
+        held = self._flows.get(flow)
+        return None if held is None or held.closing else held
 
     def ownership_of(self, flow: FlowKey) -> Ownership:
         """Return whether the upstream holds a flow, without a packet of it."""
-        if flow in self._flows:
-            return Ownership.HELD
+        held = self._flows.get(flow)
+        if held is not None:
+            return Ownership.UNKNOWN if held.closing else Ownership.HELD
         if self._complete or flow in self._returned_at:
             return Ownership.NOT_HELD
         return Ownership.UNKNOWN
@@ -115,7 +128,9 @@
     def on_caller_packet(self, packet: Packet, now: float) -> Ownership:
         """Record a caller's packet and return whether its flow is held."""
         held = self._flows.get(packet.flow)
-        if held is None:
+        if held is None or (held.closing and packet.length):
+            # Data after the end of a flow may belong to a new one with the same
+            # key, which another upstream may hold.
             return self.ownership_of(packet.flow)
         if held.handshake_sequence is not None and not packet.opens:
             ahead = (
@@ -134,10 +149,15 @@
         """Record an upstream's packet; return whether its flow is new."""
         held = self._flows.get(packet.flow)
         self._returned_at.pop(packet.flow, None)
+        if held is not None and _opens_again(held, packet):
+            self._abandon_request(held, now)
+            held = None
         if held is None:
-            handshake_sequence = packet.sequence if packet.accepts else None
-            self._flows[packet.flow] = HeldFlow(now, handshake_sequence)
-            if handshake_sequence is not None:
+            sequence = packet.sequence if packet.accepts else None
+            self._flows[packet.flow] = HeldFlow(
+                now, sequence, accepted_sequence=sequence
+            )
+            if sequence is not None:
                 self._expected_requests.add(packet.flow, now)
             return True
         held.last_packet_at = now
@@ -202,3 +222,13 @@
     def _end_request(self, held: HeldFlow) -> None:
         held.awaits_response = False
         self._awaiting_response -= 1
+
+
+def _opens_again(held: HeldFlow, packet: Packet) -> bool:
+    """Return whether an upstream accepts a new flow with the key of another.
+
+    A repeated handshake has the sequence number of the first.
+    """
+    if not packet.accepts or held.accepted_sequence == packet.sequence:
+        return False
+    return held.closing or held.accepted_sequence is not None
