Fail a response without a length whose connection breaks off

Cause: aiohttp ends a body that has neither a length nor chunks in the same way when its connection closes and when it is reset. The first half of a response of an upstream that died reached the caller as a complete response.

Change: such a body is complete only if its connection closed without an error (RFC 9112, section 8).

Measured: test_that_ends_with_its_connection fails before the change; after it, src/ragwortpost/process/tests/test_upstream_client.py: 11 passed, three times. The tests also cover late copies of a response and lost responses, which found no fault.

--- a/src/ragwortpost/process/_upstream_client.py
+++ b/src/ragwortpost/process/_upstream_client.py
@@ -204,8 +204,29 @@
 async def _body_chunks(
     response: aiohttp.ClientResponse,
 ) -> AsyncGenerator[bytes, None]:
+    closed = _connection_end(response)
     try:
         async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
             yield chunk
     except aiohttp.ClientError as error:
         raise IncompleteResponseError(repr(error)) from error
+    failure = closed.exception() if closed and closed.done() else None
+    if failure is not None:
+        raise IncompleteResponseError(repr(failure)) from failure
+
+
+def _connection_end(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Return the end of the connection, if it ends the body.
+
+    A body without a stated length is complete unless its connection fails (RFC
+    9112, section 8). The library reports both alike as the end of the body.
+    """
+    stated = {'content-length', 'transfer-encoding'}
+    if stated.intersection(name.lower() for name in response.headers):
+        return None
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
