--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -91,6 +91,7 @@
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
     backlog_limit,
+    grant_limit,
     has_room,
     load_score,
     select_local_first,
@@ -166,6 +167,7 @@
     'caller_address',
     'flow_hash',
     'format_flow',
+    'grant_limit',
     'has_room',
     'load_score',
     'max_wait',
