Count agents that return as possible holders at once

Possible holders are derived from the view and the peers at most every 20 ms.

Derive the data again after a message of an agent that it leaves out.

Before the change, test_an_agent_that_has_just_returned_has_to_deny saw a reset of the held flow. The tests of datapath/process pass.

--- a/src/ragwortpost/datapath/process/_possible_holders.py
+++ b/src/ragwortpost/datapath/process/_possible_holders.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from itertools import chain
 from typing import Final
 
 from ragwortpost.datapath.connection import (
@@ -40,6 +41,8 @@
     derived_at: float
     # Possible holders of each service's flows, without those of others.
     hosts: Mapping[str, Mapping[str, None]]
+    # Addresses of all these.
+    live: frozenset[str] = frozenset()
     # Results for the services that were asked about.
     holders: dict[str, PossibleHolders] = field(default_factory=dict)
 
@@ -62,6 +65,7 @@
         self._derived = _Derived(EMPTY_INDEX, 0, 0, {})
         self._registrars: Mapping[str, RegistrarTable] = {}
         self._registrar_fleet = EMPTY_INDEX
+        context.directory.subscribe_loads(self._on_message)
 
     def registrars(self, service: str, flow: FlowKey) -> Sequence[str]:
         """Return the agents that a flow of a service is registered with."""
@@ -95,6 +99,17 @@
             derived.holders[service] = holders
         return holders
 
+    def _on_message(self, host: str) -> None:
+        """Derive all data again if an agent has become responsive.
+
+        A flow that this agent may hold must not be reset without its denial.
+        """
+        peer = self._directory.peers.get(host)
+        if peer is None or host in self._derived.live:
+            return
+        if peer.digest.role == NodeRole.AGENT.value:
+            self.refresh()
+
     def _registrar_table(
         self, service: str, upstreams: Sequence[UpstreamEntry]
     ) -> RegistrarTable:
@@ -129,7 +144,13 @@
         for host, peer in peers.items():
             if _is_live_agent(peer, now, unlisted=host not in listed):
                 hosts[peer.digest.service][host] = None
-        return _Derived(fleet, len(peers), now, hosts)
+        return _Derived(
+            fleet,
+            len(peers),
+            now,
+            hosts,
+            frozenset(chain.from_iterable(hosts.values())),
+        )
 
     def _is_lapsed_and_unresponsive(self, upstream: UpstreamEntry) -> bool:
         """Return whether an upstream lapsed and its agent is unresponsive."""
--- a/src/ragwortpost/datapath/process/tests/test_lookups.py
+++ b/src/ragwortpost/datapath/process/tests/test_lookups.py
@@ -176,6 +176,23 @@
         denials = network.contexts[reached].metrics.events['not_held']
         assert denials == 1 + as_registrar
 
+    def test_an_agent_that_has_just_returned_has_to_deny(self) -> None:
+        network = Network()
+        holder = open_young_flow(network)
+        hosts = [document.host for document in network.documents]
+        ident = network.documents[hosts.index(holder)].ident
+        network.publish(Record(f'upstream/{ident}', 0, None))
+        network.unreachable.add(holder)
+        network.advance(3)
+        # The other agents are the possible holders of this flow.
+        network.send_packet(make_packet(flow_key(1)), SECOND_ENTRY)
+        assert [packet.flow for packet in network.resets] == [flow_key(1)]
+        network.unreachable.clear()
+        network.deliver_digests()
+        send_data(network, holder)
+        assert len(network.resets) == 1
+        assert len(network.upstreams[holder].received) == 2
+
     def test_agents_of_other_services_have_to_deny_as_well(self) -> None:
         others = [upstream(90, service='layout'), upstream(91, service='x')]
         numbers = range(1, AGENTS + 1)
