Keep granted room from other entries' flows in all limits

New flows without a grant were checked against granted room only for the backlog. They took room that was granted within the limit of flows and the rate of a warm-up, and the flows it was granted for were refused. Flows that an upstream had not answered did not count towards its limit of flows either.

Subtract granted room in both checks, and unanswered flows in the limit of flows. Admitted flows count once, not twice, towards the rate when room is computed.

Before the change, the flow without a grant was opened in both cases of test_others_do_not_take_granted_room, and five flows were delivered to an upstream whose limit is two. The tests of connection and process pass.

--- a/src/ragwortpost/datapath/connection/_admission.py
+++ b/src/ragwortpost/datapath/connection/_admission.py
@@ -49,6 +49,8 @@
     # Room that is granted to entries, or used by flows that the upstream has
     # not answered yet.
     reserved: int = 0
+    # The part of it that is granted and not used.
+    granted_room: int = 0
     # Whether the new flow uses granted room.
     granted: bool = False
 
@@ -89,10 +91,12 @@
         ):
             return 0
         room = min(inputs.connection_limit - held, inputs.backlog_limit - load)
+        room -= inputs.reserved
         if inputs.warm_up_rate is not None:
             limit = max(1, int(inputs.warm_up_rate))
-            room = min(room, limit - len(self._admitted_at))
-        return max(0, room - inputs.reserved)
+            admitted = len(self._admitted_at) + inputs.granted_room
+            room = min(room, limit - admitted)
+        return max(0, room)
 
     def _expire(self, now: float) -> None:
         while (
@@ -115,7 +119,7 @@
             return Refusal.DATA_CENTRE_DRAINED
         if inputs.upstream_unresponsive:
             return Refusal.UNRESPONSIVE
-        if held >= inputs.connection_limit:
+        if held + inputs.reserved >= inputs.connection_limit:
             return Refusal.FULL
         if (
             not inputs.granted
@@ -123,6 +127,7 @@
         ):
             return Refusal.BUSY
         rate = inputs.warm_up_rate
-        if rate is not None and len(self._admitted_at) >= max(1, int(rate)):
+        admitted = len(self._admitted_at) + inputs.granted_room
+        if rate is not None and admitted >= max(1, int(rate)):
             return Refusal.WARMING_UP
         return None
--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -85,7 +85,7 @@
             urgent=self._state.fleet.is_urgent(flow),
         )
         if self._grants.covers(entry, priority, now):
-            inputs = replace(inputs, reserved=0, granted=True)
+            inputs = replace(inputs, reserved=0, granted_room=0, granted=True)
         held, load = len(self._held_flows), self._held_flows.load(now)
         refusal = self._admission.decide(inputs, held, load, now)
         if refusal is None and self._grants.admit(flow, entry, priority, now):
@@ -170,4 +170,5 @@
                 urgent=urgent,
             ),
             reserved=self._grants.reserved(now),
+            granted_room=self._grants.granted(now),
         )
--- a/src/ragwortpost/datapath/process/tests/test_room.py
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -5,6 +5,8 @@
 after a loss or a restart, and refused callers that lose their place.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from ragwortpost.datapath.connection import FlowKey
@@ -15,7 +17,12 @@
 )
 from ragwortpost.datapath.process._messages import RoomDemand, service_tag
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
-from ragwortpost.datapath.version.tests.documents import upstream
+from ragwortpost.datapath.version import ServicePolicy
+from ragwortpost.datapath.version.tests.documents import (
+    CONFIGURATION,
+    configuration_record,
+    upstream,
+)
 
 AGENT = '10.0.0.1'
 SECOND_ENTRY = '10.0.1.2'
@@ -94,6 +101,49 @@
         assert not network.agents[AGENT].room.has_demands
 
 
+class TestReservedRoom:
+    """Room that is granted is kept from the flows of other entries."""
+
+    @pytest.mark.parametrize('warm_up_rate', [None, 2.0])
+    def test_others_do_not_take_granted_room(
+        self, warm_up_rate: float | None
+    ) -> None:
+        network = Network(upstream(1, warm_up_left=30))
+        limit = 2000 if warm_up_rate else 2
+        policy = ServicePolicy('desk', limit, 30, warm_up_rate)
+        network.publish(
+            configuration_record(
+                0, replace(CONFIGURATION, version=4, services=(policy,))
+            )
+        )
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        room = network.agents[AGENT].room
+        demand = RoomDemand(service_tag('desk'), 2, 0, 100)
+        room.receive_demand(demand, SECOND_ENTRY)
+        network.unreachable.clear()
+        network.send_packet(opening_packet(flow_key(0)))
+        assert not is_open(network, flow_key(0))
+        for number in (1, 2):
+            network.send_packet(opening_packet(flow_key(number)), SECOND_ENTRY)
+            assert is_open(network, flow_key(number))
+
+    def test_an_upstream_that_has_not_answered_gets_no_more_than_its_limit(
+        self,
+    ) -> None:
+        network = Network(upstream(1))
+        policy = ServicePolicy('desk', 2, 30, None)
+        network.publish(
+            configuration_record(
+                0, replace(CONFIGURATION, version=4, services=(policy,))
+            )
+        )
+        network.upstreams[AGENT].responds = False
+        for number in range(5):
+            network.send_packet(opening_packet(flow_key(number)))
+        assert len(network.upstreams[AGENT].received) == 2
+
+
 class TestFailures:
     """Lost grants and stopped processes cost a bounded time."""
 
