--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -47,6 +47,7 @@
 )
 from ragwortpost.datapath.version.tests.documents import (
     UPSTREAM,
+    at,
     configuration_record,
     upstream_record,
 )
@@ -111,9 +112,9 @@
         upstream_record(number + 2, upstream)
         for number, upstream in enumerate(upstreams)
     )
-    changes = Changes(0, count + 2, (configuration_record(1), *records))
+    changes = Changes(at(0), at(count + 2), (configuration_record(1), *records))
     context.state.merge(changes, 'bench')
-    context.state.confirm(count + 2, 0)
+    context.state.confirm(at(count + 2), 0)
     for upstream in upstreams:
         context.directory.record_digest(
             upstream.host, digest_of(upstream), 100.0
@@ -192,13 +193,13 @@
         upstream_record(number + 1, upstream)
         for number, upstream in enumerate(make_upstreams(count))
     )
-    full_changes = Changes(0, count, records)
+    full_changes = Changes(at(0), at(count), records)
     view = View()
     view.merge(full_changes)
     view_bytes = tracemalloc.get_traced_memory()[0] - bytes_before
     tracemalloc.stop()
     single_change = Changes(
-        count, count + 1, (replace(records[0], revision=count + 1),)
+        at(count), at(count + 1), (replace(records[0], version=at(count + 1)),)
     )
     context = make_context(
         FrozenClock(),
--- a/src/ragwortpost/datapath/process/__init__.py
+++ b/src/ragwortpost/datapath/process/__init__.py
@@ -12,10 +12,12 @@
     NodeSettings,
     UpstreamSide,
 )
-from ragwortpost.datapath.process._store_reader import (
+from ragwortpost.datapath.process._store_port import (
     HistoryLost,
     StoreError,
+    StorePoint,
     StorePort,
+    StoreRead,
 )
 
 __all__ = [
@@ -26,7 +28,9 @@
     'NodeSettings',
     'PlatformPorts',
     'StoreError',
+    'StorePoint',
     'StorePort',
+    'StoreRead',
     'UpstreamSide',
     'open_log',
     'run_node',
--- a/src/ragwortpost/datapath/process/_admin.py
+++ b/src/ragwortpost/datapath/process/_admin.py
@@ -74,6 +74,7 @@
             {
                 'flow': text,
                 'service': state.fleet.service_of(flow),
+                'era': state.era,
                 'revision': state.revision,
                 'view_age': round(state.age, 3),
                 **self._sources.explain_flow(flow),
@@ -89,7 +90,9 @@
             return _reply(
                 {
                     **asdict(document),
-                    'changed': record.revision,
+                    'changed_era': record.version.era,
+                    'changed': record.version.revision,
+                    'era': state.era,
                     'revision': state.revision,
                     'view_age': round(state.age, 3),
                     'warm_up_now': state.warm_up_left(ident),
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -407,6 +407,7 @@
             packet.flow,
             reason=refusal.value,
             held=len(self._held_flows),
+            era=self._state.era,
             revision=self._state.revision,
         )
         self._reply(ForwardOutcome.REFUSED, packet.flow, entry)
@@ -420,8 +421,8 @@
     ) -> None:
         if self._send_to_peer is None:
             return
-        load, revision = self.load, self._state.revision
-        reply = ForwardReply(outcome, load, revision, flow, raw, self.pace_ms)
+        load, version = self.load, self._state.version
+        reply = ForwardReply(outcome, load, version, flow, raw, self.pace_ms)
         self._send_to_peer(encode(reply), (entry, self._settings.peer_port))
 
     def _deliver(self, packet: Packet) -> None:
--- a/src/ragwortpost/datapath/process/_codec.py
+++ b/src/ragwortpost/datapath/process/_codec.py
@@ -39,26 +39,27 @@
     Changes,
     Host,
     Natural,
+    StateVersion,
     decode_changes,
     encode_changes,
 )
 
 # Numbers 2, 3, 4 and 7 had layouts without the pace of upstreams and the
-# priority of routes.
+# priority of routes; 8, 9 and 11 had layouts without the era of the store.
 _FORWARD: Final = 1
 _REGISTRATION: Final = 5
 _FLOW_QUERY: Final = 6
-_FORWARD_REPLY: Final = 8
-_DIGEST: Final = 9
 _FLOW_QUERY_REPLY: Final = 10
-_CHANGES: Final = 11
+_DIGEST: Final = 12
+_FORWARD_REPLY: Final = 13
+_CHANGES: Final = 14
 # Longer paces are sent as this one.
 _MAX_PACE_MS: Final = 0xFFFF
 # Maximum flows in one message; with the header they nearly fill a datagram.
 FLOWS_PER_DATAGRAM: Final = 100
 _REPLY_TO_SENDER: Final = '0.0.0.0'  # noqa: S104
 _FORWARD_HEADER: Final = struct.Struct('!BBQ4s')
-_FORWARD_REPLY_HEADER: Final = struct.Struct(f'!BBHHQ{FLOW_KEY_BYTES}s')
+_FORWARD_REPLY_HEADER: Final = struct.Struct(f'!BBHHQQ{FLOW_KEY_BYTES}s')
 _FLOW_QUERY_HEADER: Final = struct.Struct('!BQ')
 _FLOW_QUERY_REPLY_HEADER: Final = struct.Struct('!BHHB')
 
@@ -69,13 +70,14 @@
         str,
         str,
         str,
-        Natural,
+        StateVersion,
         Natural,
         bool,
         bool,
         Natural,
         tuple[Host, ...],
         Natural,
+        Natural,
     ]
 )
 
@@ -109,13 +111,13 @@
                 len(denied),
             )
             return header + b''.join((*denied, *possibly_held))
-        case ForwardReply(outcome, load, revision, flow, raw, pace_ms):
+        case ForwardReply(outcome, load, version, flow, raw, pace_ms):
             header = _FORWARD_REPLY_HEADER.pack(
                 _FORWARD_REPLY,
                 outcome,
                 load,
                 min(pace_ms, _MAX_PACE_MS),
-                revision,
+                *version,
                 flow,
             )
             return header + raw
@@ -172,8 +174,8 @@
         outcome=ForwardOutcome(header[1]),
         load=header[2],
         pace_ms=header[3],
-        revision=header[4],
-        flow=header[5],
+        version=StateVersion(header[4], header[5]),
+        flow=header[6],
         raw=datagram[_FORWARD_REPLY_HEADER.size :],
     )
 
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -321,6 +321,7 @@
             'reset',
             flow,
             reason=reason,
+            era=self._state.era,
             revision=self._state.revision,
             view_age=round(self._state.age, 2),
         )
--- a/src/ragwortpost/datapath/process/_event_log.py
+++ b/src/ragwortpost/datapath/process/_event_log.py
@@ -8,7 +8,12 @@
 from ragwortpost._clock import Clock
 from ragwortpost.datapath.connection import FlowKey, format_flow
 from ragwortpost.datapath.process._log_output import LOGGER_NAME
-from ragwortpost.datapath.version import Configuration, Record, UpstreamEntry
+from ragwortpost.datapath.version import (
+    Configuration,
+    Record,
+    StateVersion,
+    UpstreamEntry,
+)
 
 # Maximum lines of one event per second; further ones are only counted.
 LINES_PER_SECOND: Final = 20
@@ -26,8 +31,10 @@
         'reloaded',
         'started',
         'stopping',
+        'store_era_unusable',
         'store_lost',
         'store_regained',
+        'store_restored',
     )
 )
 
@@ -69,14 +76,18 @@
         """Write a line about one flow."""
         self.write(event, flow=format_flow(flow), **fields)
 
-    def write_change(self, record: Record, revision: int, source: str) -> None:
+    def write_change(
+        self, record: Record, version: StateVersion, source: str
+    ) -> None:
         """Write a line about a changed document."""
         self.write(
             'change',
             subject=record.subject,
             document=type(record.document).__name__,
-            changed=record.revision,
-            revision=revision,
+            changed_era=record.version.era,
+            changed=record.version.revision,
+            era=version.era,
+            revision=version.revision,
             source=source,
             **_detail(record),
         )
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -147,6 +147,7 @@
             agents=unresponsive[:MAX_LOGGED_AGENTS],
             silent=len(unresponsive),
             denied=len(lookup.denied),
+            era=self._state.era,
             revision=self._state.revision,
         )
 
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from ragwortpost.datapath.connection import FlowKey
-from ragwortpost.datapath.version import Changes
+from ragwortpost.datapath.version import Changes, StateVersion
 
 ServiceTag: TypeAlias = int
 
@@ -73,8 +73,8 @@
     # Requests that await the upstream's response, and first requests expected
     # soon.
     load: int
-    # Revision of the agent's view.
-    revision: int
+    # Version of the agent's view.
+    version: StateVersion
     flow: FlowKey
     # The packet, if its purpose was KNOWN_FLOW and the flow is not held; else
     # empty.
@@ -180,8 +180,8 @@
     data_centre: str
     # The service of its upstream; empty for an entry.
     service: str
-    # Revision of its view.
-    revision: int
+    # Version of its view.
+    version: StateVersion
     # Milliseconds since its view was last confirmed as the store's state.
     view_age_ms: int
     # Whether it reads the store successfully.
@@ -196,6 +196,8 @@
     entries: tuple[str, ...]
     # Milliseconds that its upstream takes for each request, zero if unknown.
     pace_ms: int = 0
+    # Hash of the documents of its view.
+    fingerprint: int = 0
 
 
 Message: TypeAlias = (
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -35,7 +35,8 @@
     SettingsReloader,
     SettingsSource,
 )
-from ragwortpost.datapath.process._store_reader import StorePort, StoreReader
+from ragwortpost.datapath.process._store_port import StorePort
+from ragwortpost.datapath.process._store_reader import StoreReader
 from ragwortpost.datapath.process._view_gossip import ViewGossip
 from ragwortpost.datapath.version import Changes
 
@@ -166,7 +167,9 @@
 
     def log_stopped(self) -> None:
         """Log the end of the process."""
-        self._log.write('stopped', revision=self._state.revision)
+        self._log.write(
+            'stopped', era=self._state.era, revision=self._state.revision
+        )
 
     async def drain(self) -> None:
         """Announce the shutdown and finish work in progress.
@@ -176,7 +179,9 @@
         """
         self._gossip.local_status.leaving = True
         self._gossip.broadcast_digest()
-        self._log.write('stopping', revision=self._state.revision)
+        self._log.write(
+            'stopping', era=self._state.era, revision=self._state.revision
+        )
         try:
             async with asyncio.timeout(
                 self._settings.stop_seconds * DRAIN_SHARE
@@ -213,6 +218,7 @@
 
     def _gauges(self) -> Mapping[str, float]:
         gauges = {
+            'view_era': float(self._state.era),
             'view_revision': float(self._state.revision),
             'view_age_seconds': round(
                 min(self._state.age, _MAX_SHOWN_AGE_SECONDS), 3
--- a/src/ragwortpost/datapath/process/_peer_directory.py
+++ b/src/ragwortpost/datapath/process/_peer_directory.py
@@ -8,6 +8,7 @@
     Digest,
 )
 from ragwortpost.datapath.process._node_settings import NodeRole
+from ragwortpost.datapath.version import ORIGIN, StateVersion
 
 # A process without a digest or reply for this time is removed.
 FORGET_AFTER_SECONDS: Final = 30.0
@@ -24,8 +25,8 @@
 
     # Its latest digest.
     digest: Digest
-    # Highest revision that its view is known to have reached.
-    revision: int
+    # Highest version that its view is known to have reached.
+    version: StateVersion
     # Monotonic time of its last digest or reply, in seconds.
     last_received_at: float
     # Monotonic time of its last digest, in seconds.
@@ -67,7 +68,7 @@
         if known is None:
             self._peers[host] = Peer(
                 digest,
-                digest.revision,
+                digest.version,
                 now,
                 now,
                 digest.load,
@@ -76,7 +77,7 @@
             )
         else:
             known.digest = digest
-            known.revision = digest.revision
+            known.version = digest.version
             known.last_received_at = now
             known.last_digest_at = now
             known.load = digest.load
@@ -86,16 +87,16 @@
             if entry != self._host:
                 self._advertised[entry] = now
 
-    def record_revision(self, host: str, revision: int) -> None:
-        """Record that a process's view has reached a revision."""
+    def record_version(self, host: str, version: StateVersion) -> None:
+        """Record that a process's view has reached a version."""
         peer = self._peers.get(host)
-        if peer is not None and peer.revision < revision:
-            peer.revision = revision
+        if peer is not None and peer.version < version:
+            peer.version = version
 
-    def revision_of(self, host: str) -> int:
-        """Return the revision of a process's view, zero if unknown."""
+    def version_of(self, host: str) -> StateVersion:
+        """Return the version of a process's view, the origin if unknown."""
         peer = self._peers.get(host)
-        return peer.revision if peer else 0
+        return peer.version if peer else ORIGIN
 
     def unknown_entries(self, digest: Digest) -> Sequence[str]:
         """Return a digest's entries that no recent digest has advertised.
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -8,16 +8,28 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
-from typing import Final, Protocol
+from contextlib import suppress
+from typing import Final
 
 import xxhash
 from result import Err, Ok, Result
 
-from ragwortpost._errors import RagwortpostError
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._peer_directory import Peer, PeerDirectory
+from ragwortpost.datapath.process._store_era import EraVerdict, judge_era
+from ragwortpost.datapath.process._store_port import (
+    HistoryLost,
+    StoreError,
+    StorePoint,
+    StorePort,
+    StoreRead,
+)
 from ragwortpost.datapath.process._view_gossip import ViewGossip
-from ragwortpost.datapath.version import Changes
+from ragwortpost.datapath.version import (
+    ORIGIN,
+    Changes,
+    StateVersion,
+)
 
 # Number of processes that should watch the store at a time.
 READER_COUNT: Final = 2
@@ -41,6 +53,10 @@
 SLOW_LINK_MEGABITS: Final = 50.0
 # Rank positions added for a process with a slow link.
 SLOW_LINK_RANK_PENALTY: Final = 4
+# Maximum wait of the first watch, and then of a full read, while an upstream
+# that was seen gone is in a restored store: writes that only show that it is
+# alive cause no event. Each further wait is twice as long.
+MIN_REREAD_SECONDS: Final = 1.0
 # Interval between checks whether this process should read.
 READER_CHECK_SECONDS: Final = 0.2
 # Minimum and maximum backoff after a failed call.
@@ -50,42 +66,6 @@
 MAX_NO_VIEW_RETRY_SECONDS: Final = 0.4
 
 
-class StoreError(RagwortpostError):
-    """The store could not be read."""
-
-    def __init__(self, cause: str, status: int) -> None:
-        """Initialize with the cause and the HTTP status, zero without one."""
-        super().__init__(cause, status)
-        self.cause = cause
-        self.status = status
-
-
-class HistoryLost(RagwortpostError):
-    """The store no longer has the changes since a revision."""
-
-    def __init__(self, revision: int) -> None:
-        """Initialize with the requested revision."""
-        super().__init__(revision)
-        self.revision = revision
-
-
-class StorePort(Protocol):
-    """Access to the store, implemented by the platform's adapter."""
-
-    async def read_all(self, *, stale: bool) -> Result[Changes, StoreError]:
-        """Return the whole state; a stale read is cheap but may be old."""
-
-    async def watch(
-        self,
-        revision: int,
-        wait_seconds: float,
-    ) -> Result[Changes, StoreError | HistoryLost]:
-        """Return the changes after a revision, none if the wait times out."""
-
-    async def probe(self) -> Result[int, StoreError]:
-        """Return the revision of a cheap read, which may be stale."""
-
-
 def rank(host: str) -> int:
     """Return the sort key of a process as a reader; the lowest goes first."""
     return xxhash.xxh64_intdigest(host.encode())
@@ -136,6 +116,10 @@
         self._reading = False
         self._needs_full_read = True
         self._retry_delay = MIN_RETRY_SECONDS
+        self._reread_delay = MIN_REREAD_SECONDS
+        # Ends the watch in progress when another response shows a new era.
+        self._watch_limit = asyncio.Timeout(None)
+        self._unusable_era: str | None = None
 
     async def run(self) -> None:
         """Read the store while too few others do, until cancelled."""
@@ -165,7 +149,9 @@
         if now - self._last_enough_readers_at >= self._takeover_delay(now):
             self._reading = True
             self._needs_full_read = True
-            self._log.write('reading', revision=self._state.revision)
+            self._log.write(
+                'reading', era=self._state.era, revision=self._state.revision
+            )
 
     def _other_readers(self) -> Sequence[str]:
         now = self._clock.monotonic()
@@ -195,42 +181,107 @@
         if self._reading:
             self._reading = False
             self._set_healthy(healthy=False)
-            self._log.write('reading_ended', revision=self._state.revision)
+            self._log.write(
+                'reading_ended',
+                era=self._state.era,
+                revision=self._state.revision,
+            )
 
     async def _read(self) -> None:
+        version = self._state.version
         if self._needs_full_read:
-            await self._apply(self._store.read_all(stale=False))
+            await self._apply(self._store.read_all(stale=False), version)
+            return
+        wait = WATCH_SECONDS
+        rereads = self._state.has_withheld
+        if rereads:
+            wait = self._reread_delay
+            self._reread_delay = min(wait * 2, WATCH_SECONDS)
         else:
-            revision = self._state.revision
-            await self._apply(self._store.watch(revision, WATCH_SECONDS))
+            self._reread_delay = MIN_REREAD_SECONDS
+        self._watch_limit = asyncio.Timeout(None)
+        try:
+            async with self._watch_limit:
+                await self._apply(
+                    self._store.watch(version.revision, wait), version
+                )
+        except TimeoutError:
+            # The probe has found a new era.
+            self._needs_full_read = True
+        self._needs_full_read = self._needs_full_read or rereads
 
     async def _apply(
         self,
         call: Awaitable[
-            Result[Changes, StoreError]
-            | Result[Changes, StoreError | HistoryLost]
+            Result[StoreRead, StoreError]
+            | Result[StoreRead, StoreError | HistoryLost]
         ],
+        requested_at: StateVersion,
     ) -> None:
         match await call:
-            case Ok(changes):
-                self._merge(changes)
-                await asyncio.sleep(COALESCE_SECONDS)
+            case Ok(read):
+                await self._apply_read(read, requested_at)
             case Err(HistoryLost() as lost):
-                self._log.write('history_lost', revision=lost.revision)
+                self._log.write(
+                    'history_lost',
+                    era=requested_at.era,
+                    revision=lost.revision,
+                )
                 self._needs_full_read = True
             case Err(error):
                 await self._back_off(error)
 
+    async def _apply_read(
+        self, read: StoreRead, requested_at: StateVersion
+    ) -> None:
+        verdict, era = self._judge(read.point)
+        if verdict is EraVerdict.OLDER:
+            await self._back_off(StoreError(f'older era {era}', 0))
+            return
+        if read.after and (
+            verdict is EraVerdict.NEW or requested_at.era != era
+        ):
+            # Changes after a revision of another era say nothing.
+            self._needs_full_read = True
+            return
+        after = StateVersion(era, read.after) if read.after else ORIGIN
+        version = StateVersion(era, read.point.revision)
+        self._merge(Changes(after, version, read.records))
+        await asyncio.sleep(COALESCE_SECONDS)
+
     def _merge(self, changes: Changes) -> None:
-        before = self._state.revision
-        self._state.merge(changes, 'store')
-        self._state.confirm(changes.revision, 0)
+        before = self._state.version
+        self._state.merge_read(changes)
+        self._state.confirm(changes.version, 0)
         self._needs_full_read = False
         self._retry_delay = MIN_RETRY_SECONDS
         self._set_healthy(healthy=True)
-        if self._state.revision > before and self._is_leading_reader():
+        if before.revision and self._state.era > before.era:
+            self._reread_delay = MIN_REREAD_SECONDS
+            self._log.write(
+                'store_restored',
+                era=self._state.era,
+                revision=self._state.revision,
+                known_era=before.era,
+                known_revision=before.revision,
+            )
+        if self._state.version > before and self._is_leading_reader():
             self._gossip.push_changes(before)
 
+    def _judge(self, point: StorePoint) -> tuple[EraVerdict, int]:
+        """Return the verdict on a response's era; log an unusable one once."""
+        known = self._state.era
+        verdict, era = judge_era(point.era, known)
+        if verdict in {EraVerdict.OLDER, EraVerdict.UNUSABLE}:
+            if self._unusable_era != point.era:
+                self._log.write(
+                    'store_era_unusable', given=point.era, era=known
+                )
+            self._unusable_era = point.era
+        else:
+            self._unusable_era = None
+        return verdict, era
+
     async def _probe(self) -> None:
         started = self._clock.monotonic()
         probe_outcome = await self._store.probe()
@@ -238,13 +289,28 @@
             self._clock.monotonic() - started
         )
         match probe_outcome:
-            case Ok(revision):
-                self._state.confirm(max(1, revision), 0)
-                self._set_healthy(healthy=True)
+            case Ok(point):
+                self._apply_probe(point)
             case Err(error):
                 self._log.write('store_probe_failed', why=repr(error))
                 self._set_healthy(healthy=False)
 
+    def _apply_probe(self, point: StorePoint) -> None:
+        verdict, era = self._judge(point)
+        match verdict:
+            case EraVerdict.NEW:
+                self._needs_full_read = True
+                self._end_watch()
+            case EraVerdict.CURRENT | EraVerdict.UNUSABLE:
+                revision = max(1, point.revision)
+                self._state.confirm(StateVersion(era, revision), 0)
+                self._set_healthy(healthy=True)
+
+    def _end_watch(self) -> None:
+        """End the watch in progress, if there is one."""
+        with suppress(RuntimeError):
+            self._watch_limit.reschedule(asyncio.get_running_loop().time())
+
     async def _back_off(self, error: Exception) -> None:
         self._log.write('store_failed', why=repr(error))
         self._set_healthy(healthy=False)
--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -1,13 +1,15 @@
 """Gossip of views and liveness between packet-level processes.
 
-In each round a process sends some peers a digest with the revision of its view
+In each round a process sends some peers a digest with the version of its view
 and the time since that was confirmed. A process that receives a digest with a
-higher revision pulls the missing changes; readers of the store also push small
-changes to all known processes at once.
+higher version pulls the missing changes; readers of the store also push small
+changes to all known processes at once. After a restore of the store a process
+also pulls views of the earlier era.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+import struct
+from collections.abc import Callable, Coroutine, Iterable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Final
@@ -19,8 +21,14 @@
 )
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._node_settings import NodeRole
+from ragwortpost.datapath.process._reconciliation import (
+    PeerView,
+    Reconciliation,
+)
 from ragwortpost.datapath.version import (
+    ORIGIN,
     Changes,
+    StateVersion,
     decode_changes,
     encode_changes,
 )
@@ -39,7 +47,8 @@
 # all processes at once.
 PULL_DELAY_SECONDS: Final = 0.15
 _LENGTH_BYTES: Final = 4
-_REVISION_BYTES: Final = 8
+# The version of the view that a pull requests the changes of.
+_VERSION_LAYOUT: Final = struct.Struct('!QQ')
 _MS: Final = 1000
 _MAX_AGE_MS: Final = 3600000
 
@@ -74,6 +83,7 @@
         self._log = context.log
         self._send: SendDatagram | None = None
         self._pull: asyncio.Task[None] | None = None
+        self._reconciliation = Reconciliation()
         self.local_status: Final = LocalStatus()
 
     async def open(self, stack: AsyncExitStack, send: SendDatagram) -> None:
@@ -99,6 +109,7 @@
                 GOSSIP_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
             )
             self._directory.expire(self._clock.monotonic())
+            self._reconciliation.forget_peers(set(self._directory.peers))
 
     def send_digest(self, hosts: Iterable[str], *, wants_reply: bool) -> None:
         """Send a digest to the given processes."""
@@ -119,11 +130,11 @@
                 self._receive_digest(message, host)
             case Changes():
                 if not self._state.merge(message, host):
-                    self._directory.record_revision(host, message.revision)
-                    self._start_pull(host)
+                    self._directory.record_version(host, message.version)
+                    self._start_pull(self._pull_missing(host))
 
-    def push_changes(self, after: int) -> None:
-        """Send the changes after a revision to every known process.
+    def push_changes(self, after: StateVersion) -> None:
+        """Send the changes after a version to every known process.
 
         Changes too large for a datagram are announced by a digest instead.
         """
@@ -144,10 +155,14 @@
             self._directory.unknown_entries(digest), wants_reply=False
         )
         self._directory.record_digest(host, digest, now)
-        if digest.revision > self._state.revision:
-            self._start_pull(host)
-        else:
-            self._state.confirm(digest.revision, digest.view_age_ms / _MS)
+        self._state.confirm(digest.version, digest.view_age_ms / _MS)
+        match self._reconciliation.compare(
+            host, digest, self._state.version, self._state.fingerprint, now
+        ):
+            case PeerView.AHEAD:
+                self._start_pull(self._pull_missing(host))
+            case PeerView.DIFFERENT:
+                self._start_pull(self._pull_whole(host))
         if digest.wants_reply:
             self.send_digest((host,), wants_reply=False)
 
@@ -163,13 +178,14 @@
             role=role.value,
             data_centre=self._settings.data_centre,
             service=side.service if side else '',
-            revision=self._state.revision,
+            version=self._state.version,
             view_age_ms=int(age),
             reading=self.local_status.reading,
             leaving=self.local_status.leaving,
             load=self.local_status.load(),
             entries=recent + own_address,
             pace_ms=self.local_status.pace_ms(),
+            fingerprint=self._state.fingerprint,
         )
 
     def _next_targets(self) -> Sequence[str]:
@@ -201,39 +217,56 @@
         hosts.pop(self._settings.host, None)
         return hosts
 
-    def _start_pull(self, host: str) -> None:
+    def _start_pull(self, pull: Coroutine[None, None, None]) -> None:
         if self._pull is not None and not self._pull.done():
+            pull.close()
             return
         loop = asyncio.get_running_loop()
-        self._pull = loop.create_task(self._pull_from(host))
+        self._pull = loop.create_task(pull)
 
-    async def _pull_from(self, host: str) -> None:
+    async def _pull_missing(self, host: str) -> None:
+        """Pull the changes that this process lacks."""
         if self._state.revision:
             # The missing changes have probably been pushed already.
             await asyncio.sleep(PULL_DELAY_SECONDS)
-            if self._directory.revision_of(host) <= self._state.revision:
+            if self._directory.version_of(host) <= self._state.version:
                 return
+        await self._pull_changes(host, self._state.version)
+
+    async def _pull_whole(self, host: str) -> None:
+        """Pull a view of an earlier era, or one that differs."""
+        changes = await self._pull_changes(host, ORIGIN)
+        if changes is not None:
+            now = self._clock.monotonic()
+            own = self._state.version
+            self._reconciliation.record_pull(host, own, changes.version, now)
+
+    async def _pull_changes(
+        self, host: str, after: StateVersion
+    ) -> Changes | None:
         try:
             async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
-                message = await self._request_changes(host)
+                message = await self._request_changes(host, after)
         except (OSError, EOFError) as error:
             self._log.write('pull_failed', peer=host, why=repr(error))
-            return
-        changes = decode_changes(message)
-        if changes.is_err():
-            why = repr(changes.unwrap_err())
+            return None
+        decoded = decode_changes(message)
+        if decoded.is_err():
+            why = repr(decoded.unwrap_err())
             self._log.write('pull_unreadable', peer=host, why=why)
-            return
-        self._state.merge(changes.unwrap(), host)
+            return None
+        changes = decoded.unwrap()
+        self._state.merge(changes, host)
+        return changes
 
-    async def _request_changes(self, host: str) -> bytes:
+    async def _request_changes(self, host: str, after: StateVersion) -> bytes:
         async with AsyncExitStack() as stack:
             reader, writer = await asyncio.open_connection(
                 host,
                 self._settings.peer_port,
             )
             stack.callback(writer.close)
-            writer.write(self._state.revision.to_bytes(_REVISION_BYTES))
+            writer.write(_VERSION_LAYOUT.pack(*after))
             length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES))
             return await reader.readexactly(length)
 
@@ -244,8 +277,9 @@
     ) -> None:
         try:
             async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
-                request = await reader.readexactly(_REVISION_BYTES)
-                changes = self._state.changes_since(int.from_bytes(request))
+                request = await reader.readexactly(_VERSION_LAYOUT.size)
+                after = StateVersion(*_VERSION_LAYOUT.unpack(request))
+                changes = self._state.changes_since(after)
                 message = encode_changes(changes)
                 writer.write(len(message).to_bytes(_LENGTH_BYTES) + message)
                 await writer.drain()
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -35,6 +35,7 @@
 from ragwortpost.datapath.process._node_context import NodeContext, make_context
 from ragwortpost.datapath.version import Changes, Record, UpstreamEntry
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     configuration_record,
     upstream,
     upstream_record,
@@ -88,7 +89,7 @@
         role='agent',
         data_centre=document.data_centre,
         service=document.service,
-        revision=0,
+        version=at(0),
         view_age_ms=0,
         reading=False,
         leaving=False,
@@ -192,12 +193,12 @@
 
     def publish(self, record: Record) -> None:
         self.revision += 1
-        revised = replace(record, revision=self.revision)
-        changes = Changes(self.revision - 1, self.revision, (revised,))
+        revised = replace(record, version=at(self.revision))
+        changes = Changes(at(self.revision - 1), at(self.revision), (revised,))
         for context in self.contexts.values():
             if context.state.revision == self.revision - 1:
                 context.state.merge(changes, 'test')
-                context.state.confirm(self.revision, 0)
+                context.state.confirm(at(self.revision), 0)
 
     def deliver_digests(self) -> None:
         for host in self.entry_nodes:
@@ -256,8 +257,8 @@
     def _sync_view(self, context: NodeContext) -> None:
         for other in self.contexts.values():
             if other.state.revision > context.state.revision:
-                context.state.merge(other.state.changes_since(0), 'test')
-        context.state.confirm(context.state.revision, 0)
+                context.state.merge(other.state.changes_since(at(0)), 'test')
+        context.state.confirm(context.state.version, 0)
 
     def _peer_sender(self, sender: str) -> Callable[[bytes, HostPort], bool]:
         def send(datagram: bytes, address: HostPort) -> bool:
--- a/src/ragwortpost/datapath/process/tests/test_codec.py
+++ b/src/ragwortpost/datapath/process/tests/test_codec.py
@@ -34,15 +34,27 @@
     RoomGrant,
 )
 from ragwortpost.datapath.version import Changes, Record
+from ragwortpost.datapath.version.tests.documents import at
 
 FLOWS = tuple(flow_key(number) for number in range(5))
 DIGEST = Digest(
-    True, 'agent', 'north', 'desk', 9, 1500, False, True, 3, ('10.0.1.1',)
+    True,
+    'agent',
+    'north',
+    'desk',
+    at(9, 1),
+    1500,
+    False,
+    True,
+    3,
+    ('10.0.1.1',),
 )
 MESSAGES: tuple[Message, ...] = (
     Forward(ForwardPurpose.RELAYABLE_LOOKUP, 2**64 - 1, b'packet', '10.0.1.1'),
     Forward(ForwardPurpose.NEW_FLOW, 0, b''),
-    ForwardReply(ForwardOutcome.NOT_HELD, 300, 2**40, FLOWS[0], b'packet'),
+    ForwardReply(
+        ForwardOutcome.NOT_HELD, 300, at(2**40, 2**33), FLOWS[0], b'packet'
+    ),
     Registration(FLOWS),
     FlowQuery(77, FLOWS),
     FlowQuery(77, ()),
@@ -54,7 +66,7 @@
     RoomDemand(77, 300, 2, 1200),
     RoomGrant(4, 150, 3, 25),
     DIGEST,
-    Changes(3, 4, (Record('upstream/a', 4, None),)),
+    Changes(at(3), at(4), (Record('upstream/a', at(4), None),)),
 )
 
 
@@ -88,6 +100,10 @@
             (3, None),
             (4, -1),
             (4, 'nine'),
+            (4, [0, -1]),
+            (4, [-1, 9]),
+            (4, [9]),
+            (11, -1),
             (5, 1.5),
             (8, 'three'),
             (9, ['not a host']),
--- a/src/ragwortpost/datapath/process/tests/test_fleet_state.py
+++ b/src/ragwortpost/datapath/process/tests/test_fleet_state.py
@@ -17,6 +17,7 @@
 )
 from ragwortpost.datapath.version import Record
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     upstream,
     upstream_record,
 )
@@ -28,7 +29,7 @@
     def test_lapsed_upstream_is_kept_for_the_grace_period(self) -> None:
         network = Network(upstream(1))
         state = network.contexts['10.0.1.1'].state
-        network.publish(Record('upstream/i-1', 0, None))
+        network.publish(Record('upstream/i-1', at(0), None))
         state.expire()
         assert state.fleet.upstreams['desk']
         network.clock.time += 3
@@ -39,13 +40,13 @@
         network = Network(upstream(1))
         state = network.contexts['10.0.1.1'].state
         network.publish(upstream_record(0, upstream(1, leaving=True)))
-        network.publish(Record('upstream/i-1', 0, None))
+        network.publish(Record('upstream/i-1', at(0), None))
         assert not state.fleet.upstreams
 
     def test_record_written_again_is_kept(self) -> None:
         network = Network(upstream(1))
         state = network.contexts['10.0.1.1'].state
-        network.publish(Record('upstream/i-1', 0, None))
+        network.publish(Record('upstream/i-1', at(0), None))
         network.publish(upstream_record(0, upstream(1)))
         network.clock.time += 9
         state.expire()
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -22,6 +22,7 @@
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
 from ragwortpost.datapath.version import Record, ServiceShare, TakenOut
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     CONFIGURATION,
     ROUTE,
     configuration_record,
@@ -325,7 +326,7 @@
         stopped = network.documents[0]
         network.unreachable.add(stopped.host)
         network.send_packet(make_packet(FLOW, length=20))
-        network.publish(Record(f'upstream/{stopped.ident}', 0, None))
+        network.publish(Record(f'upstream/{stopped.ident}', at(0), None))
         for _ in range(6):
             network.advance(1.0)
         network.contexts[ENTRY].state.expire()
@@ -338,7 +339,7 @@
         network = Network()
         stopped = network.documents[0]
         network.publish(upstream_record(0, replace(stopped, leaving=True)))
-        network.publish(Record(f'upstream/{stopped.ident}', 0, None))
+        network.publish(Record(f'upstream/{stopped.ident}', at(0), None))
         network.deliver_digests()
         network.unreachable.add(stopped.host)
         network.send_packet(make_packet(FLOW, length=20))
@@ -356,7 +357,7 @@
         network.advance(1.5)
         network.send_packet(make_packet(FLOW, length=20))
         assert not network.resets
-        network.publish(Record(f'upstream/{stopped.ident}', 0, None))
+        network.publish(Record(f'upstream/{stopped.ident}', at(0), None))
         network.send_packet(make_packet(FLOW, length=20))
         assert not network.resets
         network.advance(0.6)
@@ -370,10 +371,10 @@
         stopped = network.documents[0]
         network.start_agent(stopped, restarted=True)
         network.upstreams[stopped.host].responds = False
-        network.publish(Record(f'upstream/{stopped.ident}', 0, None))
+        network.publish(Record(f'upstream/{stopped.ident}', at(0), None))
         network.advance(3)
         network.contexts[stopped.host].state.expire()
-        network.contexts[stopped.host].state.confirm(network.revision, 0)
+        network.contexts[stopped.host].state.confirm(at(network.revision), 0)
         for number in range(3):
             network.send_packet(make_packet(flow_key(number), length=20))
         assert not network.resets
@@ -470,7 +471,7 @@
 
     def test_drained_data_centre_gets_none(self) -> None:
         network = Network(upstream(1), upstream(2, data_centre='south'))
-        network.publish(Record('out/north', 0, TakenOut('north')))
+        network.publish(Record('out/north', at(0), TakenOut('north')))
         for number in range(4):
             network.send_packet(opening_packet(flow_key(number)))
             assert network.holder(flow_key(number)) == '10.0.0.2'
@@ -545,7 +546,7 @@
         document = next(
             other for other in network.documents if other.host == holder
         )
-        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.publish(Record(f'upstream/{document.ident}', at(0), None))
         network.stall(rng.uniform(1, 2.4))
         if rng.random() < 0.5:
             network.start_agent(document, restarted=True)
@@ -569,13 +570,13 @@
         network.start_agent(document, restarted=True)
         fake = network.upstreams[holder]
         fake.responds = False
-        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.publish(Record(f'upstream/{document.ident}', at(0), None))
         network.add_entry(SECOND_ENTRY)
         for _ in range(3):
             send_data(network, SECOND_ENTRY)
         # What the upstream sent waits in the socket of the starved agent.
         network.stall(rng.uniform(0.5, 2))
-        network.contexts[holder].state.confirm(network.revision, 0)
+        network.contexts[holder].state.confirm(at(network.revision), 0)
         network.agents[holder].tick()
         assert not network.resets
         fake.responds = True
--- a/src/ragwortpost/datapath/process/tests/test_view_gossip.py
+++ b/src/ragwortpost/datapath/process/tests/test_view_gossip.py
@@ -23,8 +23,9 @@
     ViewGossip,
 )
 from ragwortpost.datapath.process.tests.network import digest_of, settings_of
-from ragwortpost.datapath.version import Changes, Record, TakenOut
+from ragwortpost.datapath.version import Changes, EraMark, Record, TakenOut
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     upstream,
     upstream_record,
 )
@@ -37,7 +38,7 @@
 MALFORMED_HOST: Final = f'{NETWORK}.8'
 UNRESPONSIVE_HOST: Final = f'{NETWORK}.7'
 PORT: Final = 21104
-CHANGES: Final = Changes(0, 5, (Record('out/a', 5, TakenOut('a')),))
+CHANGES: Final = Changes(at(0), at(5), (Record('out/a', at(5), TakenOut('a')),))
 
 
 class GossipPeer:
@@ -62,7 +63,7 @@
         return True
 
     def receive_digest(self, host: str, revision: int) -> None:
-        digest = digest_of(upstream(1), role='entry', revision=revision)
+        digest = digest_of(upstream(1), role='entry', version=at(revision))
         self.gossip.receive(digest, host)
 
     async def wait_for_revision(
@@ -102,10 +103,10 @@
 
     def test_pull_of_missing_records_only(self) -> None:
         async def scenario(ahead: GossipPeer, behind: GossipPeer) -> None:
-            added = Record('out/b', 6, TakenOut('b'))
+            added = Record('out/b', at(6), TakenOut('b'))
             for peer in (ahead, behind):
                 peer.context.state.merge(CHANGES, 'test')
-            ahead.context.state.merge(Changes(5, 6, (added,)), 'test')
+            ahead.context.state.merge(Changes(at(5), at(6), (added,)), 'test')
             behind.receive_digest(ahead.host, 6)
             await behind.wait_for_revision(6)
             assert behind.context.state.fleet.drained_data_centres == {'a', 'b'}
@@ -127,7 +128,7 @@
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
-            await reader.readexactly(8)
+            await reader.readexactly(16)
             writer.write((3).to_bytes(4) + b'xyz')
             writer.close()
 
@@ -165,9 +166,12 @@
             reader.receive_digest(HOSTS[1], 0)
             reader.context.state.merge(CHANGES, 'store')
             reader.sent.clear()
-            reader.gossip.push_changes(0)
-            pushed = [decode(datagram) for _, datagram in reader.sent]
-            assert pushed == [CHANGES]
+            reader.gossip.push_changes(at(0))
+            assert len(reader.sent) == 1
+            pushed = decode(reader.sent[0][1])
+            assert isinstance(pushed, Changes)
+            assert pushed.marks == (EraMark(0, 0, 5),)
+            assert replace(pushed, marks=(), era_age=0) == CHANGES
 
         run_scenario(scenario)
 
@@ -182,9 +186,11 @@
                 )
                 for number in range(1, 200)
             )
-            reader.context.state.merge(Changes(0, 200, records), 'store')
+            reader.context.state.merge(
+                Changes(at(0), at(200), records), 'store'
+            )
             reader.sent.clear()
-            reader.gossip.push_changes(0)
+            reader.gossip.push_changes(at(0))
             pushed = [
                 decode(datagram)
                 for host, datagram in reader.sent
@@ -199,7 +205,7 @@
         async def scenario(reader: GossipPeer, _: GossipPeer) -> None:
             reader.context.state.merge(CHANGES, 'test')
             assert reader.context.state.age > 100
-            digest = digest_of(upstream(1), revision=5, view_age_ms=1500)
+            digest = digest_of(upstream(1), version=at(5), view_age_ms=1500)
             reader.gossip.receive(digest, HOSTS[1])
             assert 1.4 < reader.context.state.age < 2
 
--- a/src/ragwortpost/datapath/version/__init__.py
+++ b/src/ragwortpost/datapath/version/__init__.py
@@ -4,7 +4,6 @@
     Changes,
     ChangesEncodingError,
     Host,
-    Natural,
     Record,
     decode_changes,
     encode_changes,
@@ -23,14 +22,22 @@
     FleetIndex,
     build_index,
 )
+from ragwortpost.datapath.version._state_version import (
+    ORIGIN,
+    EraMark,
+    Natural,
+    StateVersion,
+)
 from ragwortpost.datapath.version._view import View
 
 __all__ = [
     'EMPTY_INDEX',
+    'ORIGIN',
     'Changes',
     'ChangesEncodingError',
     'Configuration',
     'Document',
+    'EraMark',
     'FleetIndex',
     'Host',
     'Natural',
@@ -38,6 +45,7 @@
     'Route',
     'ServicePolicy',
     'ServiceShare',
+    'StateVersion',
     'TakenOut',
     'UpstreamEntry',
     'View',
--- a/src/ragwortpost/datapath/version/_changes.py
+++ b/src/ragwortpost/datapath/version/_changes.py
@@ -20,6 +20,12 @@
     TakenOut,
     UpstreamEntry,
 )
+from ragwortpost.datapath.version._state_version import (
+    ORIGIN,
+    EraMark,
+    Natural,
+    StateVersion,
+)
 
 _COMPRESSION_LEVEL: Final = 1
 # Maximum size of an unpacked message. The platform's values have at most 1 MiB,
@@ -31,7 +37,6 @@
 
 # The types of the rows that documents are encoded as: the kind of the document
 # and its fields in order.
-Natural: TypeAlias = Annotated[int, Meta(ge=0)]
 _Seconds: TypeAlias = Annotated[float, Meta(ge=0)]
 _OCTET: Final = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
 Host: TypeAlias = Annotated[str, Meta(pattern=rf'^{_OCTET}(\.{_OCTET}){{3}}\Z')]
@@ -51,10 +56,17 @@
 )
 _TAKEN_OUT_DECODER: Final[Decoder[Any]] = Decoder(tuple[int, str])
 _UPSTREAM_DECODER: Final[Decoder[Any]] = Decoder(
-    tuple[int, str, str, Host, str, Natural, bool, _Seconds, int]
+    tuple[int, str, str, Host, str, Natural, bool, _Seconds, int, Natural]
 )
-_MESSAGE_DECODER: Final = Decoder(
-    tuple[Natural, Natural, tuple[tuple[str, Natural, Raw], ...]]
+_MESSAGE_DECODER: Final[Decoder[Any]] = Decoder(
+    tuple[
+        StateVersion,
+        StateVersion,
+        tuple[tuple[str, StateVersion, Raw], ...],
+        tuple[EraMark, ...],
+        tuple[str, ...],
+        _Seconds,
+    ]
 )
 _ROW_PARTS_DECODER: Final = Decoder(tuple[Raw, ...])
 _KIND_DECODER: Final = Decoder(int)
@@ -75,56 +87,77 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """One document at the revision of its last change."""
+    """One document at the version of its last change."""
 
     # Identifies the document in the store.
     subject: str
-    # The store's revision of the document's last change.
-    revision: int
+    # The version of the document's last change.
+    version: StateVersion
     # The document; none if it was deleted or is invalid.
     document: Document | None
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """All changes between two revisions of the store."""
+    """All changes between two versions of the store's state."""
 
-    # The revision before the changes; zero if the records are the whole state.
-    after: int
-    # The revision after the changes.
-    revision: int
+    # The version before the changes; the origin if the records are the whole
+    # state.
+    after: StateVersion
+    # The version after the changes.
+    version: StateVersion
     # The changed records, or all records.
     records: tuple[Record, ...]
+    # With the whole state: what the sender knows about the store's eras.
+    marks: tuple[EraMark, ...] = ()
+    # With the whole state: documents kept for a while although the store lost
+    # them in its last restore.
+    kept: tuple[str, ...] = ()
+    # Seconds since the first read of the version's era.
+    era_age: float = 0
 
     @property
     def complete(self) -> bool:
         """Whether the records are the whole state."""
-        return self.after == 0
+        return self.after == ORIGIN
 
 
 def encode_changes(changes: Changes) -> bytes:
     """Encode changes as a message to peers."""
     rows = [
-        (record.subject, record.revision, _to_row(record.document))
+        (record.subject, record.version, _to_row(record.document))
         for record in changes.records
     ]
-    message = encode((changes.after, changes.revision, rows))
+    message = encode(
+        (
+            changes.after,
+            changes.version,
+            rows,
+            changes.marks,
+            changes.kept,
+            float(changes.era_age),
+        )
+    )
     return zlib.compress(message, _COMPRESSION_LEVEL)
 
 
 def decode_changes(message: bytes) -> Result[Changes, ChangesEncodingError]:
     """Decode the changes in a peer's message."""
     try:
-        after, revision, rows = _MESSAGE_DECODER.decode(_unpack(message))
-        records = tuple(
-            Record(subject, changed, _from_row(subject, row))
-            for subject, changed, row in rows
-        )
+        return Ok(_decode_message(_unpack(message)))
     except ChangesEncodingError as invalid:
         return Err(invalid)
     except (MsgspecError, ValueError, zlib.error) as error:
         return Err(ChangesEncodingError(repr(error)))
-    return Ok(Changes(after, revision, records))
+
+
+def _decode_message(message: bytes) -> Changes:
+    after, version, rows, *others = _MESSAGE_DECODER.decode(message)
+    records = tuple(
+        Record(subject, changed, _from_row(subject, row))
+        for subject, changed, row in rows
+    )
+    return Changes(after, version, records, *others)
 
 
 def _unpack(message: bytes) -> bytes:
--- a/src/ragwortpost/datapath/version/_documents.py
+++ b/src/ragwortpost/datapath/version/_documents.py
@@ -89,8 +89,12 @@
     leaving: bool
     # Seconds of warm-up left when it published this state.
     warm_up_left: float
-    # Unix time of its start, in milliseconds.
+    # Unix time of its start, in milliseconds. With the identity it identifies
+    # an incarnation.
     born: int
+    # Number of the states that this incarnation has published. A write that
+    # changes nothing else does not change the revision of the record.
+    sequence: int = 0
 
 
 Document: TypeAlias = Configuration | TakenOut | UpstreamEntry
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -1,16 +1,32 @@
-"""A process's view of the platform's store; its revision only grows.
+"""A process's view of the platform's store; its version only grows.
 
-The store numbers all changes in one sequence, so a revision identifies a
-state. States from the store and from peers merge record by record.
+The store numbers all changes of an era in one sequence, so an era and a
+revision identify a state. States from the store and from peers merge record by
+record, also across eras; ``_resolution`` and ``_eras`` contain the rules.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
 from typing import Final
 
+import xxhash
+
 from ragwortpost.datapath.version._changes import Changes, Record
+from ragwortpost.datapath.version._documents import (
+    Configuration,
+    UpstreamEntry,
+)
+from ragwortpost.datapath.version._eras import EraMarks
+from ragwortpost.datapath.version._resolution import resolve
+from ragwortpost.datapath.version._state_version import (
+    ORIGIN,
+    EraMark,
+    StateVersion,
+)
 
 # Deleted records that are kept so that peers that are behind receive the
-# deletions. Peers that are further behind get the whole state.
+# deletions, and so that a restored store does not bring the documents back.
+# Peers that are further behind get the whole state.
 MAX_TOMBSTONES: Final = 1000
 
 
@@ -18,22 +34,51 @@
     """The latest known record of each document."""
 
     def __init__(self) -> None:
-        """Start without records, at revision zero."""
-        self._revision = 0
-        # Deltas are complete only from this revision on.
-        self._delta_base = 0
+        """Start without records, at the origin."""
+        self._version = ORIGIN
+        # Deltas are complete only from this version on.
+        self._delta_base = ORIGIN
         self._records: dict[str, Record] = {}
+        self._eras = EraMarks()
+        # Documents that were lost or deleted by the last restore.
+        self._kept: set[str] = set()
+        # Sequences of the upstreams from the backup, as of the first read of
+        # the era by this process.
+        self._sequences: dict[str, int] = {}
+        self._fingerprint = 0
+
+    @property
+    def version(self) -> StateVersion:
+        """The version up to which the view has all changes."""
+        return self._version
 
     @property
-    def revision(self) -> int:
-        """The revision up to which the view has all changes."""
-        return self._revision
+    def fingerprint(self) -> int:
+        """Hash of the existing documents and their versions.
+
+        Views of the same version differ where one process knew more than
+        another before the store was restored.
+        """
+        return self._fingerprint
 
     @property
     def records(self) -> Iterator[Record]:
         """All records, including those of deleted documents."""
         return iter(self._records.values())
 
+    @property
+    def kept(self) -> frozenset[str]:
+        """Documents missing in the store since its last restore.
+
+        Whether the store has lost or deleted them is unknown.
+        """
+        return frozenset(self._kept)
+
+    @property
+    def has_withheld(self) -> bool:
+        """Whether the restored store has upstreams that were seen gone."""
+        return any(map(self._is_withheld, self._sequences))
+
     def get(self, subject: str) -> Record | None:
         """Return the latest record of a document, or none."""
         return self._records.get(subject)
@@ -44,49 +89,181 @@
         Returns none if changes between this view and the given ones are
         missing.
         """
-        if changes.after > self._revision:
+        if not changes.complete and changes.after > self._version:
             return None
+        self._enter_era(changes.version)
         changed = [
-            record for record in changes.records if self._is_newer(record)
+            joined
+            for record in changes.records
+            if (joined := self._join(record, changes)) is not None
         ]
         if changes.complete:
-            changed.extend(self._implied_deletions(changes))
-        for record in changed:
-            # Keep the records in the order in which they were applied.
-            self._records.pop(record.subject, None)
-            self._records[record.subject] = record
-        if changes.complete and changes.revision > self._revision:
-            self._delta_base = max(self._delta_base, changes.revision)
-        self._revision = max(self._revision, changes.revision)
+            deletions = tuple(self._implied_deletions(changes))
+            self._put_all(deletions)
+            changed.extend(deletions)
+            self._eras.learn(changes.marks)
+            if changes.version > self._version:
+                self._delta_base = max(self._delta_base, changes.version)
+        self._version = max(self._version, changes.version)
+        if changes.complete or changes.version == self._version:
+            self._eras.record_reached(changes.version)
         self._drop_old_tombstones()
         return tuple(changed)
 
-    def changes_since(self, revision: int) -> Changes:
-        """Return the changes that a process at a revision lacks.
+    def merge_read(self, changes: Changes) -> tuple[Record, ...] | None:
+        """Apply what the store returned.
+
+        The records have the version of the store's era; what comes from a
+        backup is dated back to the era in which it was written.
+        """
+        self._enter_era(changes.version)
+        dated = [
+            self._date(record, changes.version.era)
+            for record in changes.records
+        ]
+        if changes.complete:
+            named = {record.subject for record in dated}
+            dated.extend(self._deletions_since_restore(changes, named))
+            for subject in self._sequences.keys() - named:
+                self._sequences.pop(subject)
+        return self.merge(replace(changes, records=tuple(dated)))
+
+    def changes_since(self, version: StateVersion) -> Changes:
+        """Return the changes that a process at a version lacks.
 
         Returns the whole state if the view does not have all of them.
         """
-        if revision < self._delta_base or revision == 0:
-            existing = [one for one in self._records.values() if one.document]
-            return Changes(0, self._revision, tuple(existing))
+        if (
+            version.era != self._version.era
+            or version < self._delta_base
+            or version == ORIGIN
+        ):
+            return Changes(
+                ORIGIN,
+                self._version,
+                tuple(self._records.values()),
+                self._eras.all,
+                tuple(self._kept),
+            )
         newer = [
             record
             for record in self._records.values()
-            if record.revision > revision
+            if record.version > version
         ]
-        return Changes(revision, self._revision, tuple(newer))
+        return Changes(version, self._version, tuple(newer))
+
+    def forget(self, subjects: Iterable[str]) -> tuple[Record, ...]:
+        """Delete documents that the store has not had since its restore."""
+        # Later than all earlier eras, and earlier than any write in this one.
+        forgotten_at = StateVersion(self._version.era, 0)
+        deletions = tuple(
+            Record(subject, forgotten_at, None)
+            for subject in subjects
+            if subject in self._kept
+        )
+        self._put_all(deletions)
+        return deletions
 
-    def _is_newer(self, record: Record) -> bool:
+    def _enter_era(self, version: StateVersion) -> None:
+        """Move to the era of a version, unless the view has reached it."""
+        if version.era <= self._version.era:
+            return
+        self._eras.learn((EraMark(version.era, version.revision, 0),))
+        self._kept = {
+            record.subject
+            for record in self._records.values()
+            if not isinstance(record.document, Configuration | None)
+        }
+        self._sequences.clear()
+        self._version = StateVersion(version.era, 0)
+
+    def _date(self, record: Record, era: int) -> Record:
+        """Date a record of the store to the era in which it was written."""
+        version = self._eras.date(record.version.revision, era)
+        match record.document:
+            case UpstreamEntry(sequence=sequence) if version.era < era:
+                first = self._sequences.setdefault(record.subject, sequence)
+                if sequence > first and self._is_withheld(record.subject):
+                    # The incarnation has written since the restore.
+                    version = StateVersion(era, version.revision)
+        return replace(record, version=version)
+
+    def _is_withheld(self, subject: str) -> bool:
+        """Return whether an upstream was seen gone before the restore."""
+        known = self._records.get(subject)
+        if known is None or known.document is not None:
+            return False
+        return known.version <= (self._version.era, 0)
+
+    def _deletions_since_restore(
+        self, changes: Changes, named: set[str]
+    ) -> Iterator[Record]:
+        """Yield deletions of what an earlier read of the era returned."""
+        for record in self._deletable(named | self._kept):
+            if record.version.era < changes.version.era:
+                yield Record(record.subject, changes.version, None)
+
+    def _deletable(self, excluded: set[str]) -> Iterator[Record]:
+        """Yield the existing documents that an absence may delete."""
+        for record in self._records.values():
+            if record.subject in excluded:
+                continue
+            if not isinstance(record.document, Configuration | None):
+                yield record
+
+    def _join(self, record: Record, changes: Changes) -> Record | None:
+        """Merge a record; return the record in force if it changed."""
         known = self._records.get(record.subject)
-        return known is None or known.revision < record.revision
+        if known is None:
+            joined = self._resolve_unknown(record)
+        else:
+            joined = resolve(known, record)
+        if joined is not known:
+            self._put(joined)
+        if joined.document is not None:
+            was_absent = getattr(known, 'document', None) is None
+            self._update_kept(record.subject, changes, was_absent=was_absent)
+        return None if joined is known else joined
+
+    def _resolve_unknown(self, record: Record) -> Record:
+        if isinstance(record.document, Configuration | None):
+            return record
+        if not self._eras.proves_deletion(record.version):
+            return record
+        deleted_at = self._eras.deletion_version(record.version)
+        return Record(record.subject, deleted_at, None)
+
+    def _update_kept(
+        self, subject: str, changes: Changes, *, was_absent: bool
+    ) -> None:
+        from_this_era = changes.version.era == self._version.era
+        if from_this_era and subject not in changes.kept:
+            self._kept.discard(subject)
+        elif was_absent and self._version.era:
+            self._kept.add(subject)
 
     def _implied_deletions(self, changes: Changes) -> Iterator[Record]:
+        """Yield deletions of documents that the sender has seen gone."""
         named = {record.subject for record in changes.records}
-        for record in self._records.values():
-            if record.subject in named or record.document is None:
-                continue
-            if record.revision <= changes.revision:
-                yield Record(record.subject, changes.revision, None)
+        reached = {mark.era: mark.reached for mark in changes.marks}
+        reached[changes.version.era] = changes.version.revision
+        for record in self._deletable(named):
+            era, revision = record.version
+            if revision <= reached.get(era, -1):
+                deleted_at = StateVersion(era, reached[era])
+                yield Record(record.subject, deleted_at, None)
+
+    def _put_all(self, records: Iterable[Record]) -> None:
+        for record in records:
+            self._put(record)
+
+    def _put(self, record: Record) -> None:
+        # Keep the records in the order in which they were applied.
+        replaced = self._records.pop(record.subject, None)
+        self._records[record.subject] = record
+        self._fingerprint ^= _fingerprint_of(record) ^ _fingerprint_of(replaced)
+        if record.document is None:
+            self._kept.discard(record.subject)
 
     def _drop_old_tombstones(self) -> None:
         tombstones = [
@@ -95,7 +272,18 @@
         excess = len(tombstones) - MAX_TOMBSTONES
         if excess <= 0:
             return
-        tombstones.sort(key=lambda record: record.revision)
+        tombstones.sort(key=lambda record: record.version)
         for record in tombstones[:excess]:
             self._records.pop(record.subject)
-            self._delta_base = max(self._delta_base, record.revision)
+            if record.version.era == self._version.era:
+                self._delta_base = max(self._delta_base, record.version)
+
+
+def _fingerprint_of(record: Record | None) -> int:
+    """Return the hash of an existing document's state, else zero."""
+    if record is None or record.document is None:
+        return 0
+    era, revision = record.version
+    leaving = getattr(record.document, 'leaving', False)
+    text = f'{record.subject}|{era}|{revision}|{leaving}'
+    return xxhash.xxh64_intdigest(text.encode())
--- a/src/ragwortpost/datapath/version/tests/documents.py
+++ b/src/ragwortpost/datapath/version/tests/documents.py
@@ -8,6 +8,7 @@
     Route,
     ServicePolicy,
     ServiceShare,
+    StateVersion,
     UpstreamEntry,
 )
 
@@ -42,14 +43,23 @@
     return replace(numbered, **changes)  # type: ignore[arg-type]
 
 
-def upstream_record(revision: int, upstream_entry: UpstreamEntry) -> Record:
+def at(revision: int, era: int = 0) -> StateVersion:
+    """Return the version of a revision of the store."""
+    return StateVersion(era, revision)
+
+
+def upstream_record(
+    revision: int, upstream_entry: UpstreamEntry, era: int = 0
+) -> Record:
     """Return the record of an upstream's entry."""
-    return Record(f'upstream/{upstream_entry.ident}', revision, upstream_entry)
+    subject = f'upstream/{upstream_entry.ident}'
+    return Record(subject, at(revision, era), upstream_entry)
 
 
 def configuration_record(
     revision: int,
     configuration: Configuration = CONFIGURATION,
+    era: int = 0,
 ) -> Record:
     """Return the record of a configuration."""
-    return Record('configuration', revision, configuration)
+    return Record('configuration', at(revision, era), configuration)
--- a/src/ragwortpost/datapath/version/tests/test_changes.py
+++ b/src/ragwortpost/datapath/version/tests/test_changes.py
@@ -23,22 +23,25 @@
 )
 from ragwortpost.datapath.version._changes import MAX_UNPACKED_BYTES
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     configuration_record,
     upstream,
     upstream_record,
 )
 
 CHANGES = Changes(
-    3,
-    9,
+    at(3),
+    at(9),
     (
         configuration_record(5),
         upstream_record(6, upstream(1)),
         upstream_record(7, replace(upstream(2), leaving=True)),
-        Record('drained/north', 8, TakenOut('north')),
-        Record('upstream/b', 9, None),
+        Record('drained/north', at(8), TakenOut('north')),
+        Record('upstream/b', at(9), None),
     ),
 )
+# The marks, the kept subjects and the age of the era.
+END: tuple[list[object], list[object], float] = ([], [], 0.0)
 JSON_LIKE = st.recursive(
     st.none()
     | st.booleans()
@@ -85,6 +88,7 @@
             (1, 6, 1, 'leaving'),
             (1, 7, 'cold', 'warm_up_left'),
             (1, 8, '', 'born'),
+            (1, 9, -1, 'sequence'),
             (3, 1, 4, 'data_centre'),
             (1, 0, 77, 'kind'),
         ],
@@ -101,10 +105,13 @@
 
     @pytest.mark.parametrize('row', [[], [3], [1, 2, 3], ['x'], {}, 'text', 5])
     def test_unusable_row(self, row: object) -> None:
-        assert decode_rows([0, 1, [['upstream/a', 1, row]]]).cause
+        assert decode_rows(
+            [[0, 0], [0, 1], [['upstream/a', [0, 1], row]], *END]
+        ).cause
 
     def test_negative_revision(self) -> None:
-        assert decode_rows([0, -1, []]).cause
+        assert decode_rows([[0, 0], [0, -1], [], *END]).cause
+        assert decode_rows([[0, 0], [-1, 0], [], *END]).cause
 
     def test_message_that_unpacks_to_too_much(self) -> None:
         packed = zlib.compress(bytes(MAX_UNPACKED_BYTES + 1))
@@ -124,7 +131,7 @@
         self.check(zlib.compress(encode(message)))
 
     @seed(2)
-    @given(st.integers(0, 4), st.integers(0, 8), JSON_LIKE)
+    @given(st.integers(0, 4), st.integers(0, 9), JSON_LIKE)
     def test_one_changed_field(
         self, record: int, index: int, value: object
     ) -> None:
--- a/src/ragwortpost/datapath/version/tests/test_fleet_index.py
+++ b/src/ragwortpost/datapath/version/tests/test_fleet_index.py
@@ -17,6 +17,7 @@
     build_index,
 )
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     CONFIGURATION,
     ROUTE,
     configuration_record,
@@ -59,7 +60,7 @@
         assert 'layout' not in index.upstreams
 
     def test_leaving_and_drained_upstreams_accept_none(self) -> None:
-        out = Record('out/south', 3, TakenOut('south'))
+        out = Record('out/south', at(3), TakenOut('south'))
         index = index_of(out)
         assert index.accepts_new_flows(upstream(1))
         assert not index.accepts_new_flows(upstream(1, leaving=True))
--- a/src/ragwortpost/datapath/version/tests/test_view.py
+++ b/src/ragwortpost/datapath/version/tests/test_view.py
@@ -19,17 +19,18 @@
     encode_changes,
 )
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     configuration_record,
     upstream,
     upstream_record,
 )
 
-OUT = Record('out/north', 5, TakenOut('north'))
+OUT = Record('out/north', at(5), TakenOut('north'))
 
 
 def state_of(view: View) -> dict[str, int]:
     return {
-        record.subject: record.revision
+        record.subject: record.version.revision
         for record in view.records
         if record.document is not None
     }
@@ -40,45 +41,47 @@
 
     def test_an_older_record_changes_nothing(self) -> None:
         view = View()
-        view.merge(Changes(0, 9, (upstream_record(9, upstream(1)),)))
+        view.merge(Changes(at(0), at(9), (upstream_record(9, upstream(1)),)))
         older = upstream_record(4, upstream(1, leaving=True))
-        assert view.merge(Changes(0, 4, (older,))) == ()
-        assert view.revision == 9
+        assert view.merge(Changes(at(0), at(4), (older,))) == ()
+        assert view.version == at(9)
         kept = view.get('upstream/i-1')
         assert kept is not None
-        assert kept.revision == 9
+        assert kept.version == at(9)
 
     def test_changes_after_a_gap_are_rejected(self) -> None:
         view = View()
-        view.merge(Changes(0, 5, (OUT,)))
-        assert view.merge(Changes(7, 8, ())) is None
-        assert view.revision == 5
+        view.merge(Changes(at(0), at(5), (OUT,)))
+        assert view.merge(Changes(at(7), at(8), ())) is None
+        assert view.version == at(5)
 
     def test_a_complete_state_deletes_what_it_lacks(self) -> None:
         view = View()
-        view.merge(Changes(0, 5, (OUT, upstream_record(3, upstream(1)))))
-        view.merge(Changes(0, 8, (upstream_record(7, upstream(2)),)))
+        view.merge(
+            Changes(at(0), at(5), (OUT, upstream_record(3, upstream(1))))
+        )
+        view.merge(Changes(at(0), at(8), (upstream_record(7, upstream(2)),)))
         assert state_of(view) == {'upstream/i-2': 7}
 
     def test_a_complete_older_state_deletes_nothing_newer(self) -> None:
         view = View()
-        view.merge(Changes(0, 9, (upstream_record(9, upstream(1)),)))
-        view.merge(Changes(0, 5, (OUT,)))
+        view.merge(Changes(at(0), at(9), (upstream_record(9, upstream(1)),)))
+        view.merge(Changes(at(0), at(5), (OUT,)))
         assert state_of(view)['upstream/i-1'] == 9
 
     def test_a_view_that_is_behind_receives_deletions(self) -> None:
         ahead, behind = View(), View()
         for view in (ahead, behind):
-            view.merge(Changes(0, 5, (OUT,)))
-        ahead.merge(Changes(5, 6, (Record('out/north', 6, None),)))
-        behind.merge(ahead.changes_since(5))
+            view.merge(Changes(at(0), at(5), (OUT,)))
+        ahead.merge(Changes(at(5), at(6), (Record('out/north', at(6), None),)))
+        behind.merge(ahead.changes_since(at(5)))
         assert state_of(behind) == {}
-        assert behind.revision == 6
+        assert behind.version == at(6)
 
     def test_a_view_far_behind_gets_the_whole_state(self) -> None:
         ahead = View()
-        ahead.merge(Changes(0, 5, (OUT,)))
-        assert ahead.changes_since(3).complete
+        ahead.merge(Changes(at(0), at(5), (OUT,)))
+        assert ahead.changes_since(at(3)).complete
 
     @given(st.permutations(range(1, 8)))
     def test_any_order_of_states_converges_to_the_same_view(
@@ -90,14 +93,14 @@
         for revision in range(1, 8):
             upstream_entry = upstream(revision % 3, slots=revision)
             record = upstream_record(revision, upstream_entry)
-            newest.merge(Changes(revision - 1, revision, (record,)))
-            states[revision] = newest.changes_since(0)
+            newest.merge(Changes(at(revision - 1), at(revision), (record,)))
+            states[revision] = newest.changes_since(at(0))
         view = View()
-        reached = 0
+        reached = at(0)
         for revision in order:
             view.merge(states[revision])
-            assert view.revision >= reached
-            reached = view.revision
+            assert view.version >= reached
+            reached = view.version
         assert state_of(view) == state_of(newest)
 
 
@@ -106,13 +109,13 @@
 
     def test_changes_survive_a_round_trip(self) -> None:
         changes = Changes(
-            2,
-            9,
+            at(2),
+            at(9),
             (
                 configuration_record(3),
                 upstream_record(8, upstream(1)),
                 OUT,
-                Record('upstream/i-7', 9, None),
+                Record('upstream/i-7', at(9), None),
             ),
         )
         assert decode_changes(encode_changes(changes)) == Ok(changes)
@@ -123,5 +126,5 @@
 
     @pytest.mark.parametrize('cut', [1, 5, 20])
     def test_a_truncated_message_is_an_error(self, cut: int) -> None:
-        message = encode_changes(Changes(0, 5, (OUT,)))
+        message = encode_changes(Changes(at(0), at(5), (OUT,)))
         assert isinstance(decode_changes(message[:-cut]), Err)
--- a/src/ragwortpost/platform/_http_client.py
+++ b/src/ragwortpost/platform/_http_client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import socket
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 import httptools
@@ -29,6 +30,8 @@
     status: int
     # The complete body.
     body: bytes
+    # The headers, by name in lower case.
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class _ResponseCollector:
@@ -36,8 +39,15 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.headers: dict[str, str] = {}
         self.complete = False
 
+    def on_header(self, name: bytes, header_value: bytes) -> None:
+        """Record a header."""
+        self.headers[name.decode('latin-1').lower()] = header_value.decode(
+            'latin-1'
+        )
+
     def on_body(self, part: bytes) -> None:
         """Append a part of the body."""
         self.body += part
@@ -92,7 +102,7 @@
         status: int = parser.get_status_code()
         if not parser.should_keep_alive():
             self.close()
-        return HttpResponse(status, bytes(collector.body))
+        return HttpResponse(status, bytes(collector.body), collector.headers)
 
     async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         if self._reader is None or self._writer is None:
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -13,6 +13,7 @@
     Route,
     ServicePolicy,
     ServiceShare,
+    StateVersion,
     TakenOut,
     UpstreamEntry,
 )
@@ -42,27 +43,28 @@
 def decode_item(stored_item: Mapping[str, Any]) -> Record | None:
     """Return the record of a stored item or a change event.
 
-    Returns none for keys that are not used here. Raises
+    Returns none for keys that are not used here. The era of the record's
+    version is left at zero: an item does not tell it. Raises
     :class:`UnusableItemError` for an invalid value; the store client decides
     whether the document then stays in the view.
     """
     try:
         key, revision = stored_item['key'], stored_item['revision']
         if stored_item.get('tombstone'):
-            return Record(key, revision, None)
-        return _decode_value(key, revision, stored_item)
+            return Record(key, StateVersion(0, revision), None)
+        return _decode_value(key, StateVersion(0, revision), stored_item)
     except _DECODE_ERRORS as error:
         raise UnusableItemError(repr(error)) from error
 
 
 def _decode_value(
     key: str,
-    revision: int,
+    version: StateVersion,
     stored_item: Mapping[str, Any],
 ) -> Record | None:
     if key.startswith(EVACUATION_PREFIX):
         zone = key.removeprefix(EVACUATION_PREFIX)
-        return Record(key, revision, TakenOut(zone))
+        return Record(key, version, TakenOut(zone))
     document: Document
     if key == CONFIGURATION_KEY:
         document = _decode_configuration(_decode_fields(stored_item))
@@ -71,7 +73,7 @@
         document = _decode_upstream(upstream_id, _decode_fields(stored_item))
     else:
         return None
-    return Record(key, revision, document)
+    return Record(key, version, document)
 
 
 def _decode_fields(stored_item: Mapping[str, Any]) -> Mapping[str, Any]:
@@ -141,6 +143,7 @@
         # Also zero if it is negative or not a number.
         warm_up_left=max(0, fields['warmupLeftMs'] / _MS_PER_SECOND),
         born=_require_natural(int(fields.get('born', 0))),
+        sequence=_require_natural(int(fields.get('sequence', 0))),
     )
 
 
--- a/src/ragwortpost/platform/_store.py
+++ b/src/ragwortpost/platform/_store.py
@@ -10,8 +10,13 @@
 from result import Err, Ok, Result
 
 from ragwortpost._datagrams import HostPort
-from ragwortpost.datapath.process import HistoryLost, StoreError
-from ragwortpost.datapath.version import Changes, Record
+from ragwortpost.datapath.process import (
+    HistoryLost,
+    StoreError,
+    StorePoint,
+    StoreRead,
+)
+from ragwortpost.datapath.version import Record, StateVersion
 from ragwortpost.platform._http_client import HttpConnection, HttpResponse
 from ragwortpost.platform._item_decoder import (
     CONFIGURATION_KEY,
@@ -23,6 +28,8 @@
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
+# Header of all responses: the number of restores of the store from a backup.
+_ERA_HEADER: Final = 'store-era'
 _MS_PER_SECOND: Final = 1000
 # Timeout of a request, in addition to the wait of a watch.
 _REQUEST_TIMEOUT_SECONDS: Final = 1.5
@@ -30,6 +37,7 @@
 _ALL_KEYS: Final = ''
 
 _JsonObject = Mapping[str, Any]
+_Decoded = tuple[_JsonObject, StorePoint]
 
 
 class PlatformStore:
@@ -50,10 +58,13 @@
         """The number of calls so far; a watch counts as one."""
         return self._call_count
 
-    async def read_all(self, *, stale: bool) -> Result[Changes, StoreError]:
-        """Return all records; a stale read is cheap but may be outdated."""
+    async def read_all(self, *, stale: bool) -> Result[StoreRead, StoreError]:
+        """Return all records; a stale read is cheap but may be outdated.
+
+        Fails if the store is restored between two pages.
+        """
         records: list[Record] = []
-        revision = 0
+        first: StorePoint | None = None
         after = ''
         while True:
             query = {'prefix': _ALL_KEYS, 'after': after, 'staleOk': int(stale)}
@@ -62,20 +73,22 @@
             ):
                 case Err(problem):
                     return Err(problem)
-                case Ok(fields):
+                case Ok((fields, point)):
                     # Later pages may include newer changes. Only a watch that
                     # starts after the first page's revision misses nothing.
-                    revision = revision or fields['storeRevision']
+                    first = first or point
                     records.extend(_decode_records(fields['items']))
+            if point.era != first.era:
+                return Err(StoreError('restored between two pages', 0))
             if not fields['hasMore']:
-                return Ok(Changes(0, revision, tuple(records)))
+                return Ok(StoreRead(first, 0, tuple(records)))
             after = fields['items'][-1]['key']
 
     async def watch(
         self,
         revision: int,
         wait_seconds: float,
-    ) -> Result[Changes, StoreError | HistoryLost]:
+    ) -> Result[StoreRead, StoreError | HistoryLost]:
         """Wait for changes after a revision and return them.
 
         Returns no records if nothing changes for ``wait_seconds``, and the
@@ -94,22 +107,20 @@
                 return Err(HistoryLost(revision))
             case Err(problem):
                 return Err(problem)
-            case Ok(fields):
-                reached = fields['storeRevision']
+            case Ok((fields, point)):
                 records = tuple(_decode_records(fields['events']))
-                return Ok(Changes(revision, reached, records))
+                return Ok(StoreRead(point, revision, records))
 
-    async def probe(self) -> Result[int, StoreError]:
-        """Return the revision of a stale read, which may be outdated."""
+    async def probe(self) -> Result[StorePoint, StoreError]:
+        """Return the state of a stale read, which may be outdated."""
         query = {'key': CONFIGURATION_KEY, 'staleOk': 1}
-        match await self._call_json(self._call_connection, 'kv-key', query):
-            case Ok(fields):
-                revision: int = fields.get('storeRevision', 0)
-                return Ok(revision)
-            case Err(StoreError(status=status)) if status == _NOT_FOUND:
-                return Ok(0)
-            case Err(problem):
-                return Err(problem)
+        response = await self._get(self._call_connection, 'kv-key', query, 0)
+        match response:
+            case Ok(HttpResponse(status=status) as found) if (
+                status == _NOT_FOUND
+            ):
+                return Ok(StorePoint(0, _era_of(found)))
+        return response.and_then(_decode_json).map(lambda decoded: decoded[1])
 
     def close(self) -> None:
         """Close both connections."""
@@ -121,7 +132,7 @@
         connection: HttpConnection,
         name: str,
         query: Mapping[str, object],
-    ) -> Result[_JsonObject, StoreError]:
+    ) -> Result[_Decoded, StoreError]:
         response = await self._get(connection, name, query, 0)
         return response.and_then(_decode_json)
 
@@ -148,14 +159,20 @@
             return Err(StoreError(repr(error), 0))
 
 
-def _decode_json(response: HttpResponse) -> Result[_JsonObject, StoreError]:
+def _era_of(response: HttpResponse) -> str:
+    return response.headers.get(_ERA_HEADER, '').strip()
+
+
+def _decode_json(response: HttpResponse) -> Result[_Decoded, StoreError]:
+    """Return the fields of a response and the state that it is about."""
     if response.status != _OK:
         return Err(StoreError(f'status {response.status}', response.status))
     try:
         fields: _JsonObject = json.loads(response.body)
     except ValueError as error:
         return Err(StoreError(repr(error), 0))
-    return Ok(fields)
+    revision: int = fields.get('storeRevision', 0)
+    return Ok((fields, StorePoint(revision, _era_of(response))))
 
 
 def _decode_records(stored_items: Iterable[_JsonObject]) -> Iterable[Record]:
@@ -175,4 +192,4 @@
     # as deleted.
     if not key or key == CONFIGURATION_KEY:
         return None
-    return Record(key, stored_item['revision'], None)
+    return Record(key, StateVersion(0, stored_item['revision']), None)
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -23,6 +23,7 @@
     decode_changes,
     encode_changes,
 )
+from ragwortpost.datapath.version.tests.documents import at
 from ragwortpost.platform import PlatformPacketFormat, parse_settings
 from ragwortpost.platform._item_decoder import UnusableItemError, decode_item
 
@@ -139,6 +140,7 @@
             leaving=False,
             warm_up_left=1.5,
             born=1000,
+            sequence=4,
         )
 
     def test_drained_data_centre(self) -> None:
@@ -204,6 +206,8 @@
             ('warmupLeftMs', 'soon'),
             ('born', 'today'),
             ('born', 2**70),
+            ('sequence', 'first'),
+            ('sequence', -1),
         ],
     )
     def test_upstream_with_an_invalid_field(
@@ -234,7 +238,7 @@
         except UnusableItemError:
             return
         assert record is not None
-        changes = Changes(0, 1, (record,))
+        changes = Changes(at(0), at(1), (record,))
         assert decode_changes(encode_changes(changes)).unwrap() == changes
 
     @pytest.mark.parametrize('field', ['service', 'address', 'state', 'slots'])
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -16,11 +16,15 @@
 
 from ragwortpost._datagrams import HostPort
 from ragwortpost.datapath.process._node_context import NodeContext, make_context
+from ragwortpost.datapath.process._store_port import (
+    HistoryLost,
+    StoreError,
+    StorePoint,
+    StoreRead,
+)
 from ragwortpost.datapath.process._store_reader import (
     AGENT_DELAY_SECONDS,
     MAX_RETRY_SECONDS,
-    HistoryLost,
-    StoreError,
     StoreReader,
     rank,
 )
@@ -30,29 +34,37 @@
     settings_of,
 )
 from ragwortpost.datapath.version import Changes, Record, TakenOut
-from ragwortpost.datapath.version.tests.documents import upstream
+from ragwortpost.datapath.version.tests.documents import at, upstream
 from tests.harness.loop import ProcessClock, VirtualLoop
 
-WatchResult: TypeAlias = Result[Changes, StoreError | HistoryLost]
+WatchResult: TypeAlias = Result[StoreRead, StoreError | HistoryLost]
 # In rank order: the first process starts to read first.
 HOSTS = sorted((f'10.0.1.{number}' for number in range(1, 6)), key=rank)
 FIRST_HOST = HOSTS[0]
 UNAVAILABLE = StoreError('no response', 0)
 
 
+def read(
+    after: int, revision: int, records: tuple[Record, ...], era: str = ''
+) -> StoreRead:
+    return StoreRead(StorePoint(revision, era), after, records)
+
+
 class FakeStore:
     """A store with the failures that a test sets; it records its calls."""
 
     def __init__(self) -> None:
-        self.state = Changes(0, 5, (Record('out/a', 5, TakenOut('a')),))
+        self.state = read(0, 5, (Record('out/a', at(5), TakenOut('a')),))
+        # The era of watches that time out.
+        self.era = ''
         self.failure: StoreError | None = None
         self.history_lost = False
         self.reads: list[float] = []
         self.watches: list[int] = []
         self.probes = 0
-        self.pending_changes: asyncio.Queue[Changes] = asyncio.Queue()
+        self.pending_changes: asyncio.Queue[StoreRead] = asyncio.Queue()
 
-    async def read_all(self, *, stale: bool) -> Result[Changes, StoreError]:
+    async def read_all(self, *, stale: bool) -> Result[StoreRead, StoreError]:
         assert not stale
         self.reads.append(asyncio.get_running_loop().time())
         return Err(self.failure) if self.failure else Ok(self.state)
@@ -70,11 +82,11 @@
         except TimeoutError:
             if self.failure:
                 return Err(self.failure)
-            return Ok(Changes(revision, revision, ()))
+            return Ok(read(revision, revision, (), self.era))
 
-    async def probe(self) -> Result[int, StoreError]:
+    async def probe(self) -> Result[StorePoint, StoreError]:
         self.probes += 1
-        return Err(self.failure) if self.failure else Ok(self.state.revision)
+        return Err(self.failure) if self.failure else Ok(self.state.point)
 
 
 class ReaderProcess:
@@ -200,7 +212,7 @@
         async def scenario(process: ReaderProcess) -> None:
             await asyncio.sleep(1)
             assert process.gossip.local_status.reading
-            process.store.pending_changes.put_nowait(Changes(5, 5, ()))
+            process.store.pending_changes.put_nowait(read(5, 5, ()))
             await process.receive_digests_for(1, *HOSTS[:2])
 
         process = run_scenario(scenario, HOSTS[-1])
@@ -226,7 +238,7 @@
 
     def test_retries_back_off(self) -> None:
         async def scenario(process: ReaderProcess) -> None:
-            process.context.state.merge(Changes(0, 4, ()), 'test')
+            process.context.state.merge(Changes(at(0), at(4), ()), 'test')
             process.store.failure = UNAVAILABLE
             await asyncio.sleep(60)
 
@@ -254,9 +266,9 @@
     def test_the_view_never_reverts(self) -> None:
         async def scenario(process: ReaderProcess) -> None:
             await asyncio.sleep(1)
-            process.store.state = Changes(0, 3, ())
+            process.store.state = read(0, 3, ())
             process.store.history_lost = True
-            process.store.pending_changes.put_nowait(Changes(5, 6, ()))
+            process.store.pending_changes.put_nowait(read(5, 6, ()))
             await asyncio.sleep(2)
             assert process.context.state.revision == 6
             assert process.context.state.fleet.drained_data_centres == {'a'}
@@ -282,8 +294,8 @@
             await asyncio.sleep(1)
             process.receive_digests(*HOSTS[1:], reading=False)
             process.sent.clear()
-            change = Record('out/b', 6, TakenOut('b'))
-            process.store.pending_changes.put_nowait(Changes(5, 6, (change,)))
+            change = Record('out/b', at(6), TakenOut('b'))
+            process.store.pending_changes.put_nowait(read(5, 6, (change,)))
             await asyncio.sleep(0.1)
             assert set(process.sent) >= set(HOSTS[1:])
 
