Test replicas while the store is restored, and infer deletions safely

Complete states of the same era now imply deletions, the base of an era is limited by revisions that were assigned again, a drained data centre is deleted only where that is certain, and contested documents are forgotten.

--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -14,6 +14,7 @@
 from ragwortpost.datapath.version._changes import Changes, Record
 from ragwortpost.datapath.version._documents import (
     Configuration,
+    TakenOut,
     UpstreamEntry,
 )
 from ragwortpost.datapath.version._eras import EraMarks
@@ -45,6 +46,8 @@
         # Sequences of the upstreams from the backup, as of the first read of
         # the era by this process.
         self._sequences: dict[str, int] = {}
+        # Revisions of the records of data centres that deletions replaced.
+        self._deleted: dict[str, int] = {}
         self._fingerprint = 0
 
     @property
@@ -91,24 +94,11 @@
         """
         if not changes.complete and changes.after > self._version:
             return None
+        contested: tuple[str, ...] = ()
+        if changes.complete and changes.version.era == self._version.era:
+            contested = tuple(self._contested(changes))
         self._enter_era(changes.version)
-        changed = [
-            joined
-            for record in changes.records
-            if (joined := self._join(record, changes)) is not None
-        ]
-        if changes.complete:
-            deletions = tuple(self._implied_deletions(changes))
-            self._put_all(deletions)
-            changed.extend(deletions)
-            self._eras.learn(changes.marks)
-            if changes.version > self._version:
-                self._delta_base = max(self._delta_base, changes.version)
-        self._version = max(self._version, changes.version)
-        if changes.complete or changes.version == self._version:
-            self._eras.record_reached(changes.version)
-        self._drop_old_tombstones()
-        return tuple(changed)
+        return self._apply(changes) + self._forget_all(contested)
 
     def merge_read(self, changes: Changes) -> tuple[Record, ...] | None:
         """Apply what the store returned.
@@ -116,17 +106,19 @@
         The records have the version of the store's era; what comes from a
         backup is dated back to the era in which it was written.
         """
+        if not changes.complete and changes.after > self._version:
+            return None
+        era = changes.version.era
+        restored = era > self._version.era
         self._enter_era(changes.version)
-        dated = [
-            self._date(record, changes.version.era)
-            for record in changes.records
-        ]
+        if restored and changes.complete:
+            self._limit_base(changes)
+        dated = [self._date(record, era) for record in changes.records]
         if changes.complete:
             named = {record.subject for record in dated}
-            dated.extend(self._deletions_since_restore(changes, named))
             for subject in self._sequences.keys() - named:
                 self._sequences.pop(subject)
-        return self.merge(replace(changes, records=tuple(dated)))
+        return self._apply(replace(changes, records=tuple(dated)))
 
     def changes_since(self, version: StateVersion) -> Changes:
         """Return the changes that a process at a version lacks.
@@ -154,16 +146,53 @@
 
     def forget(self, subjects: Iterable[str]) -> tuple[Record, ...]:
         """Delete documents that the store has not had since its restore."""
+        return self._forget_all(self._kept.intersection(subjects))
+
+    def _forget_all(self, subjects: Iterable[str]) -> tuple[Record, ...]:
+        """Delete documents of earlier eras."""
         # Later than all earlier eras, and earlier than any write in this one.
         forgotten_at = StateVersion(self._version.era, 0)
         deletions = tuple(
             Record(subject, forgotten_at, None)
             for subject in subjects
-            if subject in self._kept
+            if self._records[subject].version < forgotten_at
         )
         self._put_all(deletions)
         return deletions
 
+    def _contested(self, changes: Changes) -> Iterator[str]:
+        """Yield documents that one state lists and the other has only kept.
+
+        The store had them after its restore, and lacked them in another read.
+        """
+        for record in changes.records:
+            known = self._records.get(record.subject)
+            if known is None or not (known.document and record.document):
+                continue
+            is_kept = record.subject in self._kept
+            if is_kept is not (record.subject in changes.kept):
+                yield record.subject
+
+    def _apply(self, changes: Changes) -> tuple[Record, ...]:
+        """Join the records of changes and infer deletions."""
+        changed = [
+            joined
+            for record in changes.records
+            if (joined := self._join(record, changes)) is not None
+        ]
+        if changes.complete:
+            deletions = tuple(self._implied_deletions(changes))
+            self._put_all(deletions)
+            changed.extend(deletions)
+            self._eras.learn(changes.marks)
+            if changes.version > self._version:
+                self._delta_base = max(self._delta_base, changes.version)
+        self._version = max(self._version, changes.version)
+        if changes.complete or changes.version == self._version:
+            self._eras.record_reached(changes.version)
+        self._drop_old_tombstones()
+        return tuple(changed)
+
     def _enter_era(self, version: StateVersion) -> None:
         """Move to the era of a version, unless the view has reached it."""
         if version.era <= self._version.era:
@@ -177,6 +206,21 @@
         self._sequences.clear()
         self._version = StateVersion(version.era, 0)
 
+    def _limit_base(self, changes: Changes) -> None:
+        """Limit the base of a new era by revisions that were assigned again.
+
+        Writers may have written to the restored store before its first read.
+        """
+        era = changes.version.era
+        subjects = {
+            record.version: record.subject for record in self._records.values()
+        }
+        for record in changes.records:
+            revision = record.version.revision
+            before = self._eras.date(revision, era - 1)
+            if subjects.get(before, record.subject) != record.subject:
+                self._eras.learn((EraMark(era, revision - 1, 0),))
+
     def _date(self, record: Record, era: int) -> Record:
         """Date a record of the store to the era in which it was written."""
         version = self._eras.date(record.version.revision, era)
@@ -186,8 +230,15 @@
                 if sequence > first and self._is_withheld(record.subject):
                     # The incarnation has written since the restore.
                     version = StateVersion(era, version.revision)
+            case TakenOut() if self._is_drained_again(record):
+                version = StateVersion(era, version.revision)
         return replace(record, version=version)
 
+    def _is_drained_again(self, record: Record) -> bool:
+        """Return whether a record differs from the one that was deleted."""
+        deleted = self._deleted.get(record.subject)
+        return deleted not in {None, record.version.revision}
+
     def _is_withheld(self, subject: str) -> bool:
         """Return whether an upstream was seen gone before the restore."""
         known = self._records.get(subject)
@@ -195,18 +246,10 @@
             return False
         return known.version <= (self._version.era, 0)
 
-    def _deletions_since_restore(
-        self, changes: Changes, named: set[str]
-    ) -> Iterator[Record]:
-        """Yield deletions of what an earlier read of the era returned."""
-        for record in self._deletable(named | self._kept):
-            if record.version.era < changes.version.era:
-                yield Record(record.subject, changes.version, None)
-
-    def _deletable(self, excluded: set[str]) -> Iterator[Record]:
+    def _deletable(self, named: set[str]) -> Iterator[Record]:
         """Yield the existing documents that an absence may delete."""
         for record in self._records.values():
-            if record.subject in excluded:
+            if record.subject in named:
                 continue
             if not isinstance(record.document, Configuration | None):
                 yield record
@@ -226,7 +269,9 @@
         return None if joined is known else joined
 
     def _resolve_unknown(self, record: Record) -> Record:
-        if isinstance(record.document, Configuration | None):
+        # Whether it was deleted before the restore may be uncertain. A data
+        # centre then stays drained; an upstream is used once it writes again.
+        if isinstance(record.document, Configuration | TakenOut | None):
             return record
         if not self._eras.proves_deletion(record.version):
             return record
@@ -249,9 +294,25 @@
         reached[changes.version.era] = changes.version.revision
         for record in self._deletable(named):
             era, revision = record.version
-            if revision <= reached.get(era, -1):
+            is_certain = era == self._version.era or not isinstance(
+                record.document, TakenOut
+            )
+            if is_certain and revision <= reached.get(era, -1):
                 deleted_at = StateVersion(era, reached[era])
                 yield Record(record.subject, deleted_at, None)
+            elif self._is_deleted_since_restore(record, changes.version):
+                yield Record(record.subject, changes.version, None)
+
+    def _is_deleted_since_restore(
+        self, record: Record, version: StateVersion
+    ) -> bool:
+        """Return whether a document from the backup lacks in a later state."""
+        if version.era != self._version.era or version < self._version:
+            return False
+        return (
+            record.version.era < version.era
+            and record.subject not in self._kept
+        )
 
     def _put_all(self, records: Iterable[Record]) -> None:
         for record in records:
@@ -264,6 +325,8 @@
         self._fingerprint ^= _fingerprint_of(record) ^ _fingerprint_of(replaced)
         if record.document is None:
             self._kept.discard(record.subject)
+            if replaced and isinstance(replaced.document, TakenOut):
+                self._deleted[record.subject] = replaced.version.revision
 
     def _drop_old_tombstones(self) -> None:
         tombstones = [
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 from typing import TypeAlias
 
+import pytest
 from result import Err, Ok, Result
 
 from ragwortpost._datagrams import HostPort
@@ -300,3 +301,110 @@
             assert set(process.sent) >= set(HOSTS[1:])
 
         run_scenario(scenario)
+
+
+class TestRestores:
+    """A restore is detected by the era on any response."""
+
+    def restored(self, *records: Record) -> StoreRead:
+        return read(0, 3, records, era='1')
+
+    def run_restored(self, scenario: ReaderScenario) -> ReaderProcess:
+        async def run(process: ReaderProcess) -> None:
+            await asyncio.sleep(0.5)
+            process.store.state = self.restored()
+            await scenario(process)
+
+        return run_scenario(run)
+
+    def test_a_watch_that_returns_a_new_era_causes_a_full_read(self) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            # Without the era these changes would be applied to the old state.
+            change = Record('out/b', at(6), TakenOut('b'))
+            process.store.pending_changes.put_nowait(
+                read(5, 6, (change,), era='1')
+            )
+            await asyncio.sleep(0.4)
+            assert process.context.state.version == at(3, era=1)
+
+        process = self.run_restored(scenario)
+        assert process.context.log.audit_trail[-1]['event'] == 'store_restored'
+        assert process.context.state.fleet.drained_data_centres == {'a'}
+
+    def test_the_probe_ends_a_watch_that_waits(self) -> None:
+        process = self.run_restored(lambda _: asyncio.sleep(1.5))
+        assert process.context.state.version == at(3, era=1)
+        assert process.reads == 2
+
+    def test_changes_after_a_revision_of_another_era_are_not_applied(
+        self,
+    ) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            # A peer has read the restored store while the watch waited.
+            process.context.state.merge(Changes(at(0), at(4, 1), ()), 'peer')
+            change = Record('out/b', at(9), TakenOut('b'))
+            process.store.pending_changes.put_nowait(
+                read(5, 9, (change,), era='1')
+            )
+            process.store.state = self.restored(change)
+            await asyncio.sleep(0.1)
+            assert process.reads == 2
+
+        self.run_restored(scenario)
+
+    def test_a_response_of_an_older_era_is_not_applied(self) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            await asyncio.sleep(1.5)
+            process.store.state = read(0, 9, (), era='0')
+            process.store.history_lost = True
+            process.store.pending_changes.put_nowait(read(3, 3, (), era='1'))
+            await asyncio.sleep(1)
+            assert process.context.state.version == at(3, era=1)
+            events = [line['event'] for line in process.context.log.audit_trail]
+            assert events.count('store_era_unusable') == 1
+
+        self.run_restored(scenario)
+
+    @pytest.mark.parametrize('era', ['', 'one', '-1', '1.0', str(2**63)])
+    def test_an_unusable_era_is_logged_and_stops_nothing(
+        self, era: str
+    ) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            await asyncio.sleep(1.5)
+            change = Record('out/b', at(4), TakenOut('b'))
+            process.store.state = read(0, 4, (change,), era)
+            process.store.pending_changes.put_nowait(read(3, 4, (change,), era))
+            await asyncio.sleep(2)
+            assert process.context.state.version == at(4, era=1)
+            unusable = [
+                line['given']
+                for line in process.context.log.audit_trail
+                if line['event'] == 'store_era_unusable'
+            ]
+            assert unusable == [era]
+
+        self.run_restored(scenario)
+
+    def test_an_upstream_seen_gone_is_used_once_it_writes_again(self) -> None:
+        gone = upstream(1, sequence=4)
+        subject = 'upstream/i-1'
+
+        async def scenario(process: ReaderProcess) -> None:
+            state = process.context.state
+            state.merge_read(
+                Changes(at(5), at(6), (Record(subject, at(6), gone),))
+            )
+            state.merge_read(
+                Changes(at(6), at(7), (Record(subject, at(7), None),))
+            )
+            await asyncio.sleep(3)
+            process.store.state = self.restored(Record(subject, at(3), gone))
+            process.store.era = '1'
+            await asyncio.sleep(4)
+            assert not state.fleet.upstreams
+            alive = replace(gone, sequence=5)
+            process.store.state = self.restored(Record(subject, at(3), alive))
+            await asyncio.sleep(8)
+            assert state.fleet.upstreams['desk'] == [alive]
+
+        run_scenario(scenario)
