Restore the stand-in store from backups in the demo and the soak test

The stand-in store sends Store-Era, keeps its two latest backups and can be restored from one. A write that changes only the sequence of an upstream keeps the revision of its item. The demo restores a backup that does not know that an upstream leaves; the soak test restores at random.

Revisions that were assigned again limit the base of a new era further, and a document counts as contested only if it was missing later.

The soak test was not run.

--- a/src/ragwortpost/datapath/version/_eras.py
+++ b/src/ragwortpost/datapath/version/_eras.py
@@ -27,6 +27,11 @@
         """All marks."""
         return tuple(self._marks.values())
 
+    def reached_of(self, era: int) -> int:
+        """Return the revision up to which all changes of an era are known."""
+        mark = self._marks.get(era)
+        return mark.reached if mark else 0
+
     def record_reached(self, version: StateVersion) -> None:
         """Record that the view has all changes up to a version."""
         mark = self._marks.get(version.era)
--- a/src/ragwortpost/datapath/version/_resolution.py
+++ b/src/ragwortpost/datapath/version/_resolution.py
@@ -12,6 +12,7 @@
 from ragwortpost.datapath.version._changes import Record
 from ragwortpost.datapath.version._documents import (
     Configuration,
+    TakenOut,
     UpstreamEntry,
 )
 
@@ -34,9 +35,37 @@
     return _keep_leaving(known, received)
 
 
+def are_different_writes(known: Record, listed: Record) -> bool:
+    """Return whether two records of one revision are of different writes.
+
+    Then the store has assigned the revision again after a restore. What a
+    process derives and what changes without a new revision is not compared.
+    """
+    if known.subject != listed.subject:
+        return True
+    match known.document, listed.document:
+        case Configuration(version=known_version), Configuration(
+            version=listed_version
+        ):
+            return known_version != listed_version
+        case UpstreamEntry() as before, UpstreamEntry() as now:
+            derived = replace(
+                before,
+                leaving=before.leaving or now.leaving,
+                warm_up_left=now.warm_up_left,
+                sequence=now.sequence,
+            )
+            was_ready = now.leaving and not before.leaving
+            return was_ready or derived != replace(now, leaving=derived.leaving)
+        case TakenOut(), TakenOut():
+            return False
+    return True
+
+
 def _keep_leaving(record: Record, superseded: Record) -> Record:
     """Return a record, leaving if its incarnation was so in another era."""
-    if record.version.era == superseded.version.era:
+    is_later = record.version > superseded.version
+    if is_later and record.version.era == superseded.version.era:
         return record
     match record.document, superseded.document:
         case (
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -19,6 +19,10 @@
 )
 from ragwortpost.datapath.version._eras import EraMarks
 from ragwortpost.datapath.version._resolution import resolve
+from ragwortpost.datapath.version._restore_evidence import (
+    contested_subjects,
+    revision_before_writes,
+)
 from ragwortpost.datapath.version._state_version import (
     ORIGIN,
     EraMark,
@@ -96,7 +100,7 @@
             return None
         contested: tuple[str, ...] = ()
         if changes.complete and changes.version.era == self._version.era:
-            contested = tuple(self._contested(changes))
+            contested = contested_subjects(changes, self)
         self._enter_era(changes.version)
         return self._apply(changes) + self._forget_all(contested)
 
@@ -112,7 +116,10 @@
         restored = era > self._version.era
         self._enter_era(changes.version)
         if restored and changes.complete:
-            self._limit_base(changes)
+            base = revision_before_writes(
+                changes, self._records.values(), self._eras
+            )
+            self._eras.learn((EraMark(era, base, 0),))
         dated = [self._date(record, era) for record in changes.records]
         if changes.complete:
             named = {record.subject for record in dated}
@@ -160,19 +167,6 @@
         self._put_all(deletions)
         return deletions
 
-    def _contested(self, changes: Changes) -> Iterator[str]:
-        """Yield documents that one state lists and the other has only kept.
-
-        The store had them after its restore, and lacked them in another read.
-        """
-        for record in changes.records:
-            known = self._records.get(record.subject)
-            if known is None or not (known.document and record.document):
-                continue
-            is_kept = record.subject in self._kept
-            if is_kept is not (record.subject in changes.kept):
-                yield record.subject
-
     def _apply(self, changes: Changes) -> tuple[Record, ...]:
         """Join the records of changes and infer deletions."""
         changed = [
@@ -206,21 +200,6 @@
         self._sequences.clear()
         self._version = StateVersion(version.era, 0)
 
-    def _limit_base(self, changes: Changes) -> None:
-        """Limit the base of a new era by revisions that were assigned again.
-
-        Writers may have written to the restored store before its first read.
-        """
-        era = changes.version.era
-        subjects = {
-            record.version: record.subject for record in self._records.values()
-        }
-        for record in changes.records:
-            revision = record.version.revision
-            before = self._eras.date(revision, era - 1)
-            if subjects.get(before, record.subject) != record.subject:
-                self._eras.learn((EraMark(era, revision - 1, 0),))
-
     def _date(self, record: Record, era: int) -> Record:
         """Date a record of the store to the era in which it was written."""
         version = self._eras.date(record.version.revision, era)
--- a/standin/fleet/demo.py
+++ b/standin/fleet/demo.py
@@ -1,7 +1,8 @@
-"""Runs the packet-level data path for 20 seconds with the stand-ins.
+"""Runs the packet-level data path for 25 seconds with the stand-ins.
 
 An entry stops gracefully, an agent is killed, an entry joins, an upstream
-leaves and the store is unavailable for a while. Exits with 1 if an invariant
+leaves, the store is unavailable for a while and is restored from a backup that
+does not know that the upstream leaves. Exits with 1 if an invariant
 was violated.
 """
 
@@ -103,11 +104,19 @@
         self.deployment.store.drop_history()
         self.deployment.store.fault_mode = FaultMode.HEALTHY
         await asyncio.sleep(2)
+        self.deployment.store.back_up()
         self.print_progress('the upstream beside agent-2 leaves')
         self.draining = vms['agent-2']
         self.draining_since = loop.time()
         self.deployment.drain_upstream(self.draining)
-        await asyncio.sleep(6)
+        await asyncio.sleep(4)
+        self.print_progress('the store is restored from a backup')
+        store = self.deployment.store
+        store.restore(store.backups[-1])
+        await asyncio.sleep(1.5)
+        self.print_progress('operators and upstreams write lost data again')
+        self.deployment.write_lost_data()
+        await asyncio.sleep(1.5)
 
     def check_invariants(self) -> None:
         """Check the results of callers and upstreams."""
--- a/standin/fleet/deployment.py
+++ b/standin/fleet/deployment.py
@@ -138,10 +138,19 @@
         """Publish that an upstream is leaving."""
         assert vm.upstream is not None
         vm.upstream.state = 'draining'
-        self.store.put(
-            f'servers/{vm.upstream.ident}',
-            vm.upstream.store_item,
-        )
+        self.write_upstream(vm.upstream)
+
+    def write_upstream(self, upstream: Upstream) -> None:
+        """Publish the state of an upstream."""
+        upstream.sequence += 1
+        self.store.put(f'servers/{upstream.ident}', upstream.store_item)
+
+    def write_lost_data(self) -> None:
+        """Write the configuration and all upstreams again after a restore."""
+        self.publish(self.routes)
+        for vm in self.vms.values():
+            if vm.upstream is not None:
+                self.write_upstream(vm.upstream)
 
     def send_signal(self, vm: Vm, number: signal.Signals) -> None:
         """Send a signal to the process of a VM if it is running."""
--- a/standin/fleet/soak.py
+++ b/standin/fleet/soak.py
@@ -1,8 +1,8 @@
 """Randomized soak: the packet-level data path under overlapping faults.
 
 Real processes are stopped, suspended, killed and reloaded by signals. Callers'
-packets are lost and delayed. The store refuses calls, stalls and loses its
-history. Connections of some processes to the store are delayed, reset, or cut
+packets are lost and delayed. The store refuses calls, stalls, loses its history
+and is restored from backups. Connections of some processes to the store are delayed, reset, or cut
 in one direction or both. Entries are cut off from callers, upstreams leave and
 crash, and configurations are published. Processes that end are restarted.
 Responses and resets are checked as they arrive, the other invariants at the
@@ -342,6 +342,24 @@
     return f'the upstream of {vm.name} crashes'
 
 
+async def back_up_store(soak: Soak) -> str:
+    """Keep a copy of the store."""
+    soak.deployment.store.back_up()
+    return 'store backed up'
+
+
+async def restore_store(soak: Soak) -> str:
+    """Restore the store from a backup; lost data is written again later."""
+    deployment = soak.deployment
+    if not deployment.store.backups:
+        return 'no backup to restore'
+    deployment.store.restore(soak.random.choice(deployment.store.backups))
+    asyncio.get_running_loop().call_later(
+        soak.random.uniform(0.1, 2), deployment.write_lost_data
+    )
+    return f'store restored, era {deployment.store.era}'
+
+
 # Faults of the first test seeds. Changing this list would change the sequence
 # of faults of each seed.
 BASE_FAULTS: tuple[Fault, ...] = (
@@ -357,7 +375,13 @@
     drain_upstream,
     crash_upstream,
 )
-FAULTS = (*BASE_FAULTS, delay_packets, disturb_store_access)
+FAULTS = (
+    *BASE_FAULTS,
+    delay_packets,
+    disturb_store_access,
+    back_up_store,
+    restore_store,
+)
 
 
 def run_seed(
--- a/standin/fleet/store.py
+++ b/standin/fleet/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from enum import Enum
@@ -20,10 +20,23 @@
     UNRESPONSIVE = 'silent'
 
 
+@dataclass(frozen=True)
+class Backup:
+    """A copy of the items at a revision."""
+
+    revision: int
+    items: dict[str, dict[str, object]]
+
+
 @dataclass
 class Store:
     """Items and their history, with a single revision counter."""
 
+    # Number of restores, sent in the header ``Store-Era``.
+    era: int = 0
+    # The latest backups, oldest first.
+    backups: list[Backup] = field(default_factory=list)
+
     revision: int = 1
     items: dict[str, dict[str, object]] = field(default_factory=dict)
     history: list[dict[str, object]] = field(default_factory=list)
@@ -36,9 +49,12 @@
 
     def put(self, key: str, fields: object) -> int:
         """Write an item and return its new revision."""
-        self.revision += 1
         value = b64encode(json.dumps(fields).encode()).decode()
         existing = self.items.get(key)
+        if existing and _differ_in_sequence_only(existing['value'], fields):
+            self.items[key] = {**existing, 'value': value}
+            return self.revision
+        self.revision += 1
         item = {
             'key': key,
             'value': value,
@@ -65,6 +81,20 @@
         self.history.clear()
         self._notify_watchers()
 
+    def back_up(self) -> None:
+        """Keep a copy of the items; only the two latest are kept."""
+        backup = Backup(self.revision, dict(self.items))
+        self.backups = [*self.backups[-1:], backup]
+
+    def restore(self, backup: Backup) -> None:
+        """Return to a backup; revisions after it are assigned again."""
+        self.era += 1
+        self.revision = backup.revision
+        self.items = dict(backup.items)
+        self.history.clear()
+        self.compacted_revision = backup.revision
+        self._notify_watchers()
+
     async def serve(self, stack: AsyncExitStack, host: str, port: int) -> None:
         """Serve calls until ``stack`` is closed."""
         app = web.Application()
@@ -98,22 +128,29 @@
         """Return events after a revision, waiting up to ``waitMs`` for one."""
         await self._apply_fault()
         after = int(request.query['after'])
+        era = self.era
         try:
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
                 while (
-                    self.compacted_revision <= after and self.revision <= after
+                    self.era == era
+                    and self.compacted_revision <= after
+                    and self.revision <= after
                 ):
                     await self.changed.wait()
         except TimeoutError:
             return self._json({'events': []})
         await self._apply_fault()
-        if after < self.compacted_revision:
-            raise web.HTTPGone
+        if after < self.compacted_revision or after > self.revision:
+            raise web.HTTPGone(headers=self._headers)
         events = [
             event for event in self.history if self._is_after(event, after)
         ]
         return self._json({'events': events})
 
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {'Store-Era': str(self.era)}
+
     def _is_after(self, event: dict[str, object], revision: int) -> bool:
         event_revision = event['revision']
         return isinstance(event_revision, int) and event_revision > revision
@@ -121,7 +158,7 @@
     async def _apply_fault(self) -> None:
         self.calls += 1
         if self.fault_mode is FaultMode.UNAVAILABLE:
-            raise web.HTTPServiceUnavailable
+            raise web.HTTPServiceUnavailable(headers=self._headers)
         if self.fault_mode is FaultMode.UNRESPONSIVE:
             await asyncio.sleep(60)
 
@@ -141,4 +178,15 @@
         return web.json_response(
             {**fields, 'storeRevision': self.revision},
             status=status,
+            headers=self._headers,
         )
+
+
+def _differ_in_sequence_only(value: object, fields: object) -> bool:
+    """Return whether a write changes no more than an upstream's sequence."""
+    known = json.loads(b64decode(str(value)))
+    if not isinstance(known, dict) or not isinstance(fields, dict):
+        return False
+    if 'sequence' not in fields or known == fields:
+        return False
+    return {**known, 'sequence': fields['sequence']} == fields
--- a/standin/fleet/upstreams.py
+++ b/standin/fleet/upstreams.py
@@ -33,6 +33,7 @@
         self.host = host
         self.zone = zone
         self.state = 'ready'
+        self.sequence = 1
         self.streams: dict[tuple[str, int], Stream] = {}
         self.half_open: dict[tuple[str, int], int] = {}
         self.initial_sequences: dict[tuple[str, int], int] = {}
@@ -57,7 +58,7 @@
             'slots': SLOTS,
             'state': self.state,
             'warmupLeftMs': 0,
-            'sequence': 1,
+            'sequence': self.sequence,
             'born': 1,
         }
 
