--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -351,6 +351,7 @@
             packet.flow,
             reason=refusal.value,
             held=len(self._held_flows),
+            era=self._state.era,
             revision=self._state.revision,
         )
         self._reply(ForwardOutcome.REFUSED, packet.flow, entry)
@@ -362,8 +363,8 @@
         entry: str,
         raw: bytes = b'',
     ) -> None:
-        load, revision = self.load, self._state.revision
-        reply = ForwardReply(outcome, load, revision, flow, raw, self.pace_ms)
+        load, version = self.load, self._state.version
+        reply = ForwardReply(outcome, load, version, flow, raw, self.pace_ms)
         self._send_message(reply, entry)
 
     def _deliver(self, packet: Packet) -> None:
--- a/src/ragwortpost/datapath/process/tests/test_lookups.py
+++ b/src/ragwortpost/datapath/process/tests/test_lookups.py
@@ -20,6 +20,7 @@
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
 from ragwortpost.datapath.version import Record, UpstreamEntry
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     upstream,
     upstream_record,
 )
@@ -181,7 +182,7 @@
         holder = open_young_flow(network)
         hosts = [document.host for document in network.documents]
         ident = network.documents[hosts.index(holder)].ident
-        network.publish(Record(f'upstream/{ident}', 0, None))
+        network.publish(Record(f'upstream/{ident}', at(0), None))
         network.unreachable.add(holder)
         network.advance(3)
         # The other agents are the possible holders of this flow.
@@ -250,7 +251,7 @@
             if document.host in registrars_of(FLOW, hosts)
         )
         network.start_agent(registrar)
-        network.publish(Record(f'upstream/{registrar.ident}', 0, None))
+        network.publish(Record(f'upstream/{registrar.ident}', at(0), None))
         network.publish(upstream_record(0, replace(registrar, ident='new')))
         network.sent.clear()
         network.advance(0.3)
@@ -298,7 +299,7 @@
     ) -> None:
         network = many_agents()
         document = no_registrar(network)
-        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.publish(Record(f'upstream/{document.ident}', at(0), None))
         for context in network.contexts.values():
             context.state.expire()
         restart(network, document.host)
@@ -318,7 +319,7 @@
     def test_the_deferral_ends_after_a_second(self) -> None:
         network = many_agents()
         document = no_registrar(network)
-        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.publish(Record(f'upstream/{document.ident}', at(0), None))
         network.advance(3)
         for context in network.contexts.values():
             context.state.expire()
--- a/src/ragwortpost/datapath/process/tests/test_message_meter.py
+++ b/src/ragwortpost/datapath/process/tests/test_message_meter.py
@@ -28,7 +28,7 @@
 from ragwortpost.datapath.process._metrics import Metrics
 from ragwortpost.datapath.process.tests.network import digest_of
 from ragwortpost.datapath.version import Changes
-from ragwortpost.datapath.version.tests.documents import upstream
+from ragwortpost.datapath.version.tests.documents import at, upstream
 
 PEER: HostPort = ('10.0.0.1', 8004)
 FLOW = bytes(12)
@@ -47,12 +47,12 @@
             (Forward(ForwardPurpose.KNOWN_FLOW, 1, b'x'), 'payload'),
             (Forward(ForwardPurpose.LOOKUP, 1, b'x'), 'lookup'),
             (Forward(ForwardPurpose.RELAYABLE_LOOKUP, 1, b'x'), 'lookup'),
-            (ForwardReply(ForwardOutcome.HELD, 0, 1, FLOW, b''), 'reply'),
+            (ForwardReply(ForwardOutcome.HELD, 0, at(1), FLOW, b''), 'reply'),
             (FlowQuery(1, (FLOW,)), 'lookup'),
             (Registration((FLOW,)), 'registration'),
             (RoomDemand(1, 2, 3, 4), 'demand'),
             (RoomGrant(1, 150, 0, 0), 'grant'),
-            (Changes(0, 1, ()), 'changes'),
+            (Changes(at(0), at(1), ()), 'changes'),
             (digest_of(upstream(1)), 'digest'),
         ],
     )
--- a/src/ragwortpost/datapath/process/tests/test_paced_sender.py
+++ b/src/ragwortpost/datapath/process/tests/test_paced_sender.py
@@ -41,11 +41,13 @@
     settings_of,
 )
 from ragwortpost.datapath.version import Changes, Record, TakenOut
-from ragwortpost.datapath.version.tests.documents import upstream
+from ragwortpost.datapath.version.tests.documents import at, upstream
 
 PEER: HostPort = ('10.0.0.1', 8004)
 DIGEST = encode(digest_of(upstream(1)))
-CHANGES = encode(Changes(4, 5, (Record('out/a', 5, TakenOut('a')),)))
+CHANGES = encode(
+    Changes(at(4), at(5), (Record('out/a', at(5), TakenOut('a')),))
+)
 
 
 class Process:
@@ -102,7 +104,7 @@
         [
             *(Forward(purpose, 1, b'x') for purpose in ForwardPurpose),
             *(
-                ForwardReply(outcome, 0, 1, bytes(12), b'')
+                ForwardReply(outcome, 0, at(1), bytes(12), b'')
                 for outcome in ForwardOutcome
             ),
             FlowQuery(1, (bytes(12),)),
@@ -155,8 +157,8 @@
         # Peers would otherwise take the view for fresher than it is, and pass
         # that on with every further delay.
         process = Process()
-        process.context.state.merge(Changes(0, 5, ()), 'test')
-        process.context.state.confirm(5, 0)
+        process.context.state.merge(Changes(at(0), at(5), ()), 'test')
+        process.context.state.confirm(at(5), 0)
         process.use_up_budget()
         waiting = digest_of(upstream(1), wants_reply=True)
         process.sender.send(encode(waiting), PEER)
@@ -218,12 +220,12 @@
         hosts = {f'10.0.2.{number}' for number in range(200)}
         for host in hosts:
             process.gossip.receive(digest_of(upstream(1)), host)
-        process.context.state.merge(Changes(0, 1, ()), 'test')
+        process.context.state.merge(Changes(at(0), at(1), ()), 'test')
 
         async def spread() -> None:
             async with AsyncExitStack() as stack:
                 await process.gossip.open(stack, process.sender.send)
-                process.gossip.push_changes(0)
+                process.gossip.push_changes(at(0))
                 process.gossip.broadcast_digest()
 
         asyncio.run(spread())
--- a/src/ragwortpost/datapath/process/tests/virtual_fleet.py
+++ b/src/ragwortpost/datapath/process/tests/virtual_fleet.py
@@ -38,6 +38,7 @@
 )
 from ragwortpost.datapath.version import Changes, Record, UpstreamEntry
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     CONFIGURATION,
     ROUTE,
     configuration_record,
@@ -234,23 +235,25 @@
         if isinstance(message, messages.Digest):
             now = self.context.clock.monotonic()
             self.context.directory.record_digest(sender, message, now)
-            self.context.state.confirm(self.context.state.revision, 0)
+            self.context.state.confirm(self.context.state.version, 0)
             if message.wants_reply:
                 self._send_digest(sender, wants_reply=False)
             return
         receiver: object = self.node
-        if isinstance(message, messages.RoomDemand):
+        if isinstance(self.node, Agent) and isinstance(
+            message, messages.RoomDemand
+        ):
             receiver = self.node.room
         getattr(receiver, HANDLERS[type(message)])(message, sender)
 
     def _merge_view(self) -> None:
         state = self.context.state
-        changes = self.fleet.store.state.changes_since(state.revision)
+        changes = self.fleet.store.state.changes_since(state.version)
         self.enqueue('in Changes', lambda: self._merge(changes))
 
     def _merge(self, changes: Changes) -> None:
         self.context.state.merge(changes, 'store')
-        self.context.state.confirm(self.context.state.revision, 0)
+        self.context.state.confirm(self.context.state.version, 0)
 
     def _send_outside(self, datagram: bytes, address: HostPort) -> bool:
         if address == (self.host, UPSTREAM_PORT):
@@ -356,9 +359,9 @@
             self._return_upstream(agent_number)
 
     def publish(self, record: Record) -> None:
-        revision = self.store.state.revision + 1
-        revised = replace(record, revision=revision)
-        changes = Changes(revision - 1, revision, (revised,))
+        version = at(self.store.state.revision + 1)
+        revised = replace(record, version=version)
+        changes = Changes(self.store.state.version, version, (revised,))
         self.store.state.merge(changes, 'test')
         for process in self.processes.values():
             process.update_view()
