--- a/src/ragwortpost/datapath/process/_new_flows.py
+++ b/src/ragwortpost/datapath/process/_new_flows.py
@@ -337,9 +337,8 @@
         self.discard(flow)
         waiting.refused += 1
         self._refused_callers.record(flow, pending.arrived_at, now)
-        if pending.unanswered or pending.packet.flow_age:
-            # An upstream may have accepted it, of an agent that has not replied
-            # or through the entry that got the caller's first packet.
+        if pending.unanswered:
+            # An upstream may have accepted it: the refusal might be wrong.
             self._log.write_flow('refusal_in_doubt', flow)
         else:
             self._ports.refuse(pending.packet)
