Decide on inventories without a walk over the agents

A lookup whose registrars had denied the flow still listed all possible holders once before it awaited inventories.

--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -221,14 +221,14 @@
         if service is None:
             return
         holders = self._holders.possible_holders(service)
-        if lookup.queries_all and len(holders.own) > DIRECT_QUERY_LIMIT:
-            self._request_inventories(lookup, service)
-            return
+        registrars = self._holders.registrars(service, flow)
+        if len(holders.own) > DIRECT_QUERY_LIMIT:
+            lookup.queries_all |= lookup.denied.issuperset(registrars)
+            if lookup.queries_all:
+                self._request_inventories(lookup, service)
+                return
         remaining = agents_to_query(
-            lookup,
-            self._holders.registrars(service, flow),
-            holders.own,
-            holders.others,
+            lookup, registrars, holders.own, holders.others
         )
         if lookup.queries_all and len(remaining) > DIRECT_QUERY_LIMIT:
             self._request_inventories(lookup, service)
