--- a/src/ragwortpost/datapath/connection/_room_grants.py
+++ b/src/ragwortpost/datapath/connection/_room_grants.py
@@ -97,8 +97,8 @@
 
     @property
     def has_demands(self) -> bool:
-        """Whether any entry waits for room."""
-        return bool(self._order)
+        """Whether any entry waits for room, or has not used what it got."""
+        return bool(self._order or self._units)
 
     def granted(self, now: float) -> int:
         """Return the number of flows that are granted and not used."""
--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -206,10 +206,10 @@
             now = self.contexts[host].clock.monotonic()
             directory = self.contexts[host].directory
             for document in self.documents:
-                if document.host not in self.unreachable:
-                    directory.record_digest(
-                        document.host, digest_of(document), now
-                    )
+                agent = self.agents.get(document.host)
+                if agent is not None and document.host not in self.unreachable:
+                    digest = digest_of(document, load=agent.load)
+                    directory.record_digest(document.host, digest, now)
 
     def advance(self, seconds: float) -> None:
         """Advance the clock while all processes run."""
