--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -72,6 +72,7 @@
 from ragwortpost.datapath.connection._upstream_selection import (
     Candidate,
     backlog_limit,
+    grant_limit,
     has_room,
     load_score,
     select_local_first,
@@ -136,6 +137,7 @@
     'backlog_limit',
     'caller_address',
     'format_flow',
+    'grant_limit',
     'has_room',
     'load_score',
     'max_wait',
--- a/src/ragwortpost/datapath/connection/_upstream_selection.py
+++ b/src/ragwortpost/datapath/connection/_upstream_selection.py
@@ -27,6 +27,11 @@
 # Requests for each slot that flows of more urgent routes may add to a backlog
 # that those of other routes have filled.
 URGENT_RESERVE_PER_SLOT: Final = 2
+# Requests for each slot by which the backlog that room is granted for is
+# shorter. A flow that has waited has less time left for the backlog, and grants
+# refill it without delay: with four requests, 1.5 times the capacity was
+# answered in time less often (0.54 of the callers instead of 0.63).
+GRANT_MARGIN_PER_SLOT: Final = 1
 # Share of a route's target in which the requests in progress or queued at a
 # slow upstream should finish.
 BACKLOG_TARGET_SHARE: Final = 0.8
@@ -82,6 +87,15 @@
     return max(slots, int(target * BACKLOG_TARGET_SHARE / pace))
 
 
+def grant_limit(slots: int, limit: int) -> int:
+    """Return the backlog up to which room is granted.
+
+    ``limit`` is that for new flows that have not waited.
+    """
+    slots = max(1, slots)
+    return max(slots, limit - GRANT_MARGIN_PER_SLOT * slots)
+
+
 def slowdown(pace: float, median_pace: float) -> float:
     """Return how many times as slow as the median an upstream is.
 
--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -17,6 +17,7 @@
     RoomGrants,
     UpstreamLiveness,
     backlog_limit,
+    grant_limit,
     route_key_of,
 )
 from ragwortpost.datapath.process._codec import encode
@@ -125,7 +126,7 @@
         return priorities.get(self._service, 0)
 
     def _room(self, priority: int) -> int:
-        """Return the free room for flows of a priority."""
+        """Return the room that may be granted to flows of a priority."""
         targets = [
             route.target
             for route in self._state.fleet.routes.values()
@@ -136,6 +137,10 @@
             min(targets, default=math.inf),
             urgent=priority < self._least_urgent(),
         )
+        upstream = self._state.fleet.upstreams_by_host.get(self._settings.host)
+        slots = upstream.slots if upstream else 1
+        limit = grant_limit(slots, inputs.backlog_limit)
+        inputs = replace(inputs, backlog_limit=limit)
         now = self._clock.monotonic()
         held, load = len(self._held_flows), self._held_flows.load(now)
         return self._admission.room(inputs, held, load, now)
