--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -636,6 +636,21 @@
         network.advance(0.02)
         assert next(iter(network.upstreams['10.0.0.1'].flows)) == flow_key(1)
 
+    def test_later_ones_join_the_queue_of_waiting_ones(self) -> None:
+        network = self.network()
+        fake = network.upstreams['10.0.0.1']
+        fake.accepts = False
+        network.send_packet(opening_packet(flow_key(1)))
+        fake.accepts = True
+        # The agent may be offered flows again, but no tick has come yet.
+        network.stall(0.019)
+        network.send_packet(opening_packet(flow_key(1, LATER_PORT)))
+        assert not fake.flows
+        # The agent is told of the second one after 0.1 s at the latest.
+        for _ in range(6):
+            network.advance(0.02)
+        assert list(fake.flows) == [flow_key(1), flow_key(1, LATER_PORT)]
+
 
 class TestBacklog:
     """No upstream is assigned more than a short queue."""
--- a/src/ragwortpost/datapath/process/tests/test_room.py
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -167,3 +167,30 @@
         for _ in range(50):
             network.advance(0.02)
         assert not network.resets
+
+
+class TestObservation:
+    """Operators see which flows wait, for how long, and the use of room."""
+
+    def test_gauges_of_entries_and_agents(self) -> None:
+        network = full_network()
+        network.advance(0.1)
+        waiting = network.entry.gauges()
+        assert waiting['waiting'] == waiting['waiting_priority_0'] == 1
+        assert waiting['oldest_wait_seconds'] == pytest.approx(0.1)
+        assert network.agents[AGENT].gauges()['room'] == 0
+        make_room(network)
+        assert network.entry.gauges()['waiting'] == 0
+        events = network.contexts[AGENT].metrics.events
+        assert events['room_granted'] == events['room_used'] == 1
+
+    def test_the_log_tells_when_flows_begin_and_cease_to_wait(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        with caplog.at_level('INFO', 'ragwortpost'):
+            network = full_network()
+            make_room(network)
+            network.advance(0.02)
+        events = [record.msg['event'] for record in caplog.records]  # type: ignore[index]
+        began, ended = map(events.index, ('waiting_began', 'waiting_ended'))
+        assert began < ended
