Grant room only when a packet of the upstream has freed some

Cause: while entries wait, an agent evaluated its room for every packet of its upstream.

Change: it does so when the load has fallen since the last evaluation, on a demand and at ticks.

--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -191,7 +191,7 @@
             self._handle_returned(packet)
         else:
             self._handle_response(packet)
-        self.room.grant()
+        self.room.on_outbound()
 
     def tick(self) -> None:
         """Register flows that are due and remove expired state.
--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -53,6 +53,8 @@
         self._liveness = liveness
         self._admission = Admission()
         self._grants = RoomGrants()
+        # The load at the upstream's last packet, or when room was last granted.
+        self._last_load = 0
         self._send_to_peer: SendDatagram | None = None
         self._is_stopping: Callable[[], bool] = bool
 
@@ -107,12 +109,21 @@
         self._grants.record_demand(entry, waiting, now)
         self.grant()
 
+    def on_outbound(self) -> None:
+        """Grant room if a packet of the upstream has freed some."""
+        load = self._held_flows.load(self._clock.monotonic())
+        freed = load < self._last_load
+        self._last_load = load
+        if freed:
+            self.grant()
+
     def grant(self) -> None:
         """Grant free room to the entries that wait for it."""
         if not self._grants.has_demands or self._send_to_peer is None:
             return
         now = self._clock.monotonic()
         load, pace = self._held_flows.load(now), self._held_flows.pace(now)
+        self._last_load = load
         for grant in self._grants.allocate(self._room, now):
             self._events['room_granted'] += grant.flows
             message = RoomGrant(
