Admit less urgent flows beside their entry's own grant

A grant for an urgent flow covers urgent flows only. When its entry offered a less urgent flow after these, the room that the entry itself held counted against the flow: it was refused as busy, and the room stayed unused until the grant expired.

Leave out the entry's own grants where a flow that they do not cover is decided on room, and let it use a unit of them if it is admitted.

Before the change, the flow of test_a_less_urgent_flow_uses_the_grant_of_its_entry was refused at a load of 5 with a limit of 8. The tests of connection and process pass.

--- a/src/ragwortpost/datapath/connection/_room_grants.py
+++ b/src/ragwortpost/datapath/connection/_room_grants.py
@@ -29,6 +29,9 @@
 # for each entry.
 _MAX_ORDER_FACTOR: Final = 8
 
+# At least as urgent as the priority of any flow.
+_MOST_URGENT: Final = -math.inf
+
 # Returns the free room for flows of a priority.
 RoomFunction: TypeAlias = Callable[[int], int]
 
@@ -140,14 +143,25 @@
         self._expire(now)
         return self._find_units(entry, priority) is not None
 
+    def granted_to(self, entry: str, now: float) -> int:
+        """Return the number of flows granted to an entry and not used."""
+        self._expire(now)
+        account = self._accounts.get(entry)
+        return account.granted if account else 0
+
     def admit(
         self, flow: FlowKey, entry: str, priority: int, now: float
     ) -> bool:
-        """Record that a flow was admitted; return whether it used a grant."""
+        """Record that a flow was admitted; return whether it used a grant.
+
+        A flow that the grant does not cover uses one as well, so that room of
+        one entry is not counted twice.
+        """
         self._expire(now)
         self._opening.pop(flow, None)
         self._opening[flow] = now
         units = self._find_units(entry, priority)
+        units = units or self._find_units(entry, _MOST_URGENT)
         if units is None:
             return False
         units.left -= 1
@@ -234,7 +248,7 @@
             ]
             heapify(self._order)
 
-    def _find_units(self, entry: str, priority: int) -> _Units | None:
+    def _find_units(self, entry: str, priority: float) -> _Units | None:
         account = self._accounts.get(entry)
         if account is None:
             return None
--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -86,6 +86,13 @@
         )
         if self._grants.covers(entry, priority, now):
             inputs = replace(inputs, reserved=0, granted_room=0, granted=True)
+        else:
+            own = self._grants.granted_to(entry, now)
+            inputs = replace(
+                inputs,
+                reserved=inputs.reserved - own,
+                granted_room=inputs.granted_room - own,
+            )
         held, load = len(self._held_flows), self._held_flows.load(now)
         refusal = self._admission.decide(inputs, held, load, now)
         if refusal is None and self._grants.admit(flow, entry, priority, now):
--- a/src/ragwortpost/datapath/process/tests/test_room.py
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ragwortpost.datapath.connection import FlowKey
+from ragwortpost.datapath.connection import FlowKey, route_key_of
 from ragwortpost.datapath.connection.tests.packets import (
     flow_key,
     make_packet,
@@ -20,12 +20,15 @@
 from ragwortpost.datapath.version import ServicePolicy
 from ragwortpost.datapath.version.tests.documents import (
     CONFIGURATION,
+    ROUTE,
     configuration_record,
     upstream,
 )
 
 AGENT = '10.0.0.1'
 SECOND_ENTRY = '10.0.1.2'
+# Port of a route with a less urgent priority.
+LATER_PORT = 8080
 # Flows that an upstream with two slots has room for.
 ROOM = 8
 
@@ -128,6 +131,28 @@
             network.send_packet(opening_packet(flow_key(number)), SECOND_ENTRY)
             assert is_open(network, flow_key(number))
 
+    def test_a_less_urgent_flow_uses_the_grant_of_its_entry(self) -> None:
+        network = Network(upstream(1))
+        flow = flow_key(9, LATER_PORT)
+        later = replace(ROUTE, key=route_key_of(flow), name='later', priority=1)
+        network.publish(
+            configuration_record(
+                0, replace(CONFIGURATION, version=4, routes=(ROUTE, later))
+            )
+        )
+        for number in range(5):
+            network.send_packet(opening_packet(flow_key(number)))
+        room = network.agents[AGENT].room
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        demand = RoomDemand(service_tag('desk'), 4, 0, 100)
+        room.receive_demand(demand, SECOND_ENTRY)
+        assert room.gauges()['room_granted'] == 4
+        network.unreachable.clear()
+        network.send_packet(opening_packet(flow), SECOND_ENTRY)
+        assert is_open(network, flow)
+        assert room.gauges()['room_granted'] == 3
+
     def test_an_upstream_that_has_not_answered_gets_no_more_than_its_limit(
         self,
     ) -> None:
