Evaluate only changed upstreams after a change of the view

Each change of the view made the next selection evaluate all upstreams, once for each class of flows. After a mass restart the view changes many times a second, about once for each upstream.

Evaluate only the upstreams whose entries differ, unless the configuration or the drained data centres have changed.

--- a/src/ragwortpost/datapath/process/_upstream_index.py
+++ b/src/ragwortpost/datapath/process/_upstream_index.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -44,7 +44,7 @@
     """The candidates of one class of flows."""
 
     loads: LoadIndex
-    # The fleet at the time when all upstreams were evaluated.
+    # The fleet whose upstreams were evaluated.
     fleet: FleetIndex
     built_at: float
     # Agents whose load was reported since the last selection.
@@ -97,7 +97,7 @@
         index = self._classes.get(flow_class)
         if (
             index is None
-            or index.fleet is not fleet
+            or not _has_same_rules(index.fleet, fleet)
             or now - index.built_at >= REBUILD_SECONDS
         ):
             index = _ClassIndex(LoadIndex(self._rng), fleet, now)
@@ -105,6 +105,9 @@
             for upstream in fleet.upstreams.get(flow_class.service, ()):
                 self._update(index, flow_class, upstream.host)
             return index
+        if index.fleet is not fleet:
+            index.changed.update(_changed_hosts(index.fleet, fleet))
+            index.fleet = fleet
         if now - index.retried_at >= RETRY_SECONDS:
             index.retried_at = now
             index.changed |= index.unavailable
@@ -131,6 +134,25 @@
         return candidate
 
 
+def _has_same_rules(before: FleetIndex, after: FleetIndex) -> bool:
+    """Return whether only single upstreams may get other flows."""
+    return (
+        before.configuration is after.configuration
+        and before.drained_data_centres == after.drained_data_centres
+    )
+
+
+def _changed_hosts(before: FleetIndex, after: FleetIndex) -> Iterator[str]:
+    """Yield the hosts whose upstreams differ.
+
+    After a mass restart the view changes many times a second, each time in few
+    upstreams.
+    """
+    for host, upstream in after.upstreams_by_host.items():
+        if before.upstreams_by_host.get(host) is not upstream:
+            yield host
+
+
 def _is_as_good(candidate: Candidate, found: Candidate) -> bool:
     if load_score(candidate) > load_score(found):
         return False
