Grant room again when unused room expires

An entry that holds the most room that it may have has no place in the order of demands. While no other entry waited, the agent examined neither demands nor expired room, and ticked at the idle interval: after a lost grant, the entry got room only with its next demand, up to 0.3 s later.

Examine both also while granted room is unused.

Before the change, test_room_is_granted_again_after_lost_grants found no demand after the grant, and none was granted within 0.45 s in a trial. The tests of connection and process pass.

--- a/src/ragwortpost/datapath/connection/_room_grants.py
+++ b/src/ragwortpost/datapath/connection/_room_grants.py
@@ -100,8 +100,12 @@
 
     @property
     def has_demands(self) -> bool:
-        """Whether any entry waits for room."""
-        return bool(self._order)
+        """Whether any entry waits for room or has unused room.
+
+        An entry that has all the room it may have waits again when that
+        expires.
+        """
+        return bool(self._order) or bool(self._units)
 
     def granted(self, now: float) -> int:
         """Return the number of flows that are granted and not used."""
--- a/src/ragwortpost/datapath/process/tests/test_room.py
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -188,6 +188,18 @@
             network.advance(0.02)
         assert is_open(network, flow_key(0))
 
+    def test_room_is_granted_again_after_lost_grants(self) -> None:
+        network = Network(upstream(1))
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        self.demand(network, SECOND_ENTRY)
+        network.sent.clear()
+        for _ in range(8):
+            assert not network.sent
+            assert network.agents[AGENT].room.has_demands
+            network.advance(0.02)
+        assert network.sent == [(AGENT, SECOND_ENTRY)]
+
     def test_a_restarted_agent_decides_on_its_room(self) -> None:
         network = Network(upstream(1, slots=1))
         network.add_entry(SECOND_ENTRY)
