--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -30,6 +30,9 @@
 
 # Maximum flows of an upstream until a configuration is known.
 DEFAULT_CONNECTION_LIMIT: Final = 2000
+# Time without grants after the upstream returned an opening packet: it has less
+# room than its load shows, and would return the next ones as well.
+RETURN_PAUSE_SECONDS: Final = 0.1
 _MS: Final = 1000
 
 
@@ -57,6 +60,8 @@
         self._last_load = 0
         self._send_to_peer: SendDatagram | None = None
         self._is_stopping: Callable[[], bool] = bool
+        # Monotonic seconds until which no room is granted.
+        self._paused_until: float = 0
 
     @property
     def has_demands(self) -> bool:
@@ -89,6 +94,13 @@
         )
         if self._grants.covers(entry, priority, now):
             inputs = replace(inputs, reserved=0, granted_room=0, granted=True)
+        else:
+            own = self._grants.granted_to(entry, now)
+            inputs = replace(
+                inputs,
+                reserved=inputs.reserved - own,
+                granted_room=inputs.granted_room - own,
+            )
         held, load = len(self._held_flows), self._held_flows.load(now)
         refusal = self._admission.decide(inputs, held, load, now)
         if refusal is None and self._grants.admit(flow, entry, priority, now):
@@ -99,6 +111,10 @@
         """Record that the upstream has answered a new flow."""
         self._grants.settle(flow)
 
+    def record_return(self) -> None:
+        """Record that the upstream returned an opening packet."""
+        self._paused_until = self._clock.monotonic() + RETURN_PAUSE_SECONDS
+
     def receive_demand(self, demand: RoomDemand, entry: str) -> None:
         """Record how many flows wait at an entry, and grant it room."""
         if demand.service != service_tag(self._service):
@@ -122,6 +138,8 @@
         if not self._grants.has_demands or self._send_to_peer is None:
             return
         now = self._clock.monotonic()
+        if now < self._paused_until:
+            return
         load, pace = self._held_flows.load(now), self._held_flows.pace(now)
         self._last_load = load
         for grant in self._grants.allocate(self._room, now):
--- a/src/ragwortpost/datapath/process/tests/test_room.py
+++ b/src/ragwortpost/datapath/process/tests/test_room.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ragwortpost.datapath.connection import FlowKey
+from ragwortpost.datapath.connection import FlowKey, route_key_of
 from ragwortpost.datapath.connection.tests.packets import (
     flow_key,
     make_packet,
@@ -20,12 +20,15 @@
 from ragwortpost.datapath.version import ServicePolicy
 from ragwortpost.datapath.version.tests.documents import (
     CONFIGURATION,
+    ROUTE,
     configuration_record,
     upstream,
 )
 
 AGENT = '10.0.0.1'
 SECOND_ENTRY = '10.0.1.2'
+# Port of a route with a less urgent priority.
+LATER_PORT = 8080
 # Flows that an upstream with two slots has room for, and how many of them have
 # to end before it grants room.
 ROOM = 8
@@ -97,6 +100,20 @@
         # Three by load, and those that the agents have granted meanwhile.
         assert offers <= 3 + 16
 
+    def test_an_upstream_that_returns_flows_gets_few_offers(self) -> None:
+        network = Network(upstream(1))
+        fake = network.upstreams[AGENT]
+        fake.accepts = False
+        for number in range(30):
+            network.send_packet(opening_packet(flow_key(number)))
+        for _ in range(10):
+            network.advance(0.02)
+        # Four on each grant of 0.1 s, and some while it seems idle.
+        assert len(fake.received) <= 20
+        fake.accepts = True
+        network.advance(0.3)
+        assert is_open(network, flow_key(0))
+
     def test_a_demand_for_another_service_is_ignored(self) -> None:
         network = Network(upstream(1))
         demand = RoomDemand(service_tag('other'), 1, 0, 100)
@@ -131,6 +148,28 @@
             network.send_packet(opening_packet(flow_key(number)), SECOND_ENTRY)
             assert is_open(network, flow_key(number))
 
+    def test_a_less_urgent_flow_uses_the_grant_of_its_entry(self) -> None:
+        network = Network(upstream(1))
+        flow = flow_key(9, LATER_PORT)
+        later = replace(ROUTE, key=route_key_of(flow), name='later', priority=1)
+        network.publish(
+            configuration_record(
+                0, replace(CONFIGURATION, version=4, routes=(ROUTE, later))
+            )
+        )
+        for number in range(5):
+            network.send_packet(opening_packet(flow_key(number)))
+        room = network.agents[AGENT].room
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        demand = RoomDemand(service_tag('desk'), 4, 0, 100)
+        room.receive_demand(demand, SECOND_ENTRY)
+        assert room.gauges()['room_granted'] == 4
+        network.unreachable.clear()
+        network.send_packet(opening_packet(flow), SECOND_ENTRY)
+        assert is_open(network, flow)
+        assert room.gauges()['room_granted'] == 3
+
     def test_an_upstream_that_has_not_answered_gets_no_more_than_its_limit(
         self,
     ) -> None:
@@ -168,6 +207,18 @@
             network.advance(0.02)
         assert is_open(network, flow_key(1))
 
+    def test_room_is_granted_again_after_lost_grants(self) -> None:
+        network = Network(upstream(1))
+        network.add_entry(SECOND_ENTRY)
+        network.unreachable.add(SECOND_ENTRY)
+        self.demand(network, SECOND_ENTRY)
+        network.sent.clear()
+        for _ in range(8):
+            assert not network.sent
+            assert network.agents[AGENT].room.has_demands
+            network.advance(0.02)
+        assert network.sent == [(AGENT, SECOND_ENTRY)]
+
     def test_a_restarted_agent_decides_on_its_room(self) -> None:
         network = Network(upstream(1, slots=1))
         network.add_entry(SECOND_ENTRY)
