Test what restarted processes and kept records do after a restore

An upstream that left is not used again by a process that restarts and reads the backup first: it pulls the view of a peer of the earlier era. A read that spans a restore fails.

--- a/src/ragwortpost/datapath/process/tests/test_fleet_state.py
+++ b/src/ragwortpost/datapath/process/tests/test_fleet_state.py
@@ -10,14 +10,21 @@
 
 from ragwortpost._errors import RagwortpostError
 from ragwortpost.datapath.process import NodeSettings
+from ragwortpost.datapath.process._fleet_state import (
+    DRAINED_GRACE_SECONDS,
+    LAPSE_GRACE_SECONDS,
+    FleetState,
+)
 from ragwortpost.datapath.process._settings_reloader import SettingsReloader
 from ragwortpost.datapath.process.tests.network import (
     Network,
     settings_of,
 )
-from ragwortpost.datapath.version import Record
+from ragwortpost.datapath.version import Changes, Record, TakenOut
 from ragwortpost.datapath.version.tests.documents import (
+    CONFIGURATION,
     at,
+    configuration_record,
     upstream,
     upstream_record,
 )
@@ -53,6 +60,47 @@
         assert state.fleet.upstreams['desk']
 
 
+class TestLostRecords:
+    """Records that a restored store lacks are kept for a bounded time."""
+
+    def restored(self) -> tuple[Network, FleetState]:
+        network = Network(upstream(1))
+        state = network.contexts['10.0.1.1'].state
+        network.publish(Record('out/south', at(0), TakenOut('south')))
+        state.merge_read(Changes(at(0), at(1, era=1), ()))
+        return network, state
+
+    def test_upstream_lapses_and_is_removed(self) -> None:
+        network, state = self.restored()
+        assert state.is_lapsed('i-1')
+        assert state.fleet.upstreams
+        network.clock.time += LAPSE_GRACE_SECONDS + 0.1
+        state.expire()
+        assert not state.fleet.upstreams
+        assert not state.is_lapsed('i-1')
+
+    def test_data_centre_stays_drained_for_longer(self) -> None:
+        network, state = self.restored()
+        network.clock.time += DRAINED_GRACE_SECONDS - 0.1
+        state.expire()
+        assert state.fleet.drained_data_centres == {'south'}
+        network.clock.time += 0.2
+        state.expire()
+        assert not state.fleet.drained_data_centres
+
+    def test_configuration_is_kept(self) -> None:
+        network, state = self.restored()
+        older = replace(CONFIGURATION, version=CONFIGURATION.version - 1)
+        state.merge_read(
+            Changes(
+                at(1, era=1), at(2, era=1), (configuration_record(2, older),)
+            )
+        )
+        network.clock.time += 60
+        state.expire()
+        assert state.fleet.configuration == CONFIGURATION
+
+
 class TestWarmUp:
     """The remaining warm-up of an upstream."""
 
--- a/src/ragwortpost/datapath/process/tests/test_view_gossip.py
+++ b/src/ragwortpost/datapath/process/tests/test_view_gossip.py
@@ -66,6 +66,15 @@
         digest = digest_of(upstream(1), role='entry', version=at(revision))
         self.gossip.receive(digest, host)
 
+    def digest(self) -> Digest:
+        state = self.context.state
+        return digest_of(
+            upstream(1),
+            role='entry',
+            version=state.version,
+            fingerprint=state.fingerprint,
+        )
+
     async def wait_for_revision(
         self, revision: int, seconds: float = 3
     ) -> None:
@@ -158,6 +167,48 @@
         run_scenario(scenario)
 
 
+class TestRestores:
+    """After a restore of the store, what was known before is kept."""
+
+    def test_restarted_process_does_not_use_an_upstream_that_left(
+        self,
+    ) -> None:
+        async def scenario(known: GossipPeer, restarted: GossipPeer) -> None:
+            listed = Changes(at(0), at(3), (upstream_record(3, upstream(1)),))
+            leaving = upstream_record(4, upstream(1, leaving=True))
+            left = Record('upstream/i-1', at(5), None)
+            known.context.state.merge(listed, 'test')
+            known.context.state.merge(Changes(at(3), at(4), (leaving,)), 'test')
+            known.context.state.merge(Changes(at(4), at(5), (left,)), 'test')
+            # The backup still has the upstream; the restarted process reads it
+            # before it hears of any peer.
+            backup = replace(listed, version=at(3, era=1))
+            restarted.context.state.merge_read(backup)
+            assert restarted.context.state.fleet.upstreams
+            restarted.gossip.receive(known.digest(), known.host)
+            async with asyncio.timeout(2):
+                while restarted.context.state.fleet.upstreams:
+                    await asyncio.sleep(0.01)
+            assert restarted.context.state.version == at(3, era=1)
+            # The other process moves to the new era without the upstream.
+            known.gossip.receive(restarted.digest(), restarted.host)
+            async with asyncio.timeout(2):
+                while known.context.state.era == 0:
+                    await asyncio.sleep(0.01)
+            assert not known.context.state.fleet.upstreams
+
+        run_scenario(scenario)
+
+    def test_digest_of_an_earlier_era_confirms_nothing(self) -> None:
+        async def scenario(peer: GossipPeer, _: GossipPeer) -> None:
+            restored = replace(CHANGES, version=at(5, era=1))
+            peer.context.state.merge(restored, 'test')
+            peer.receive_digest(UNUSED_HOST, 5)
+            assert peer.context.state.age > 100
+
+        run_scenario(scenario)
+
+
 class TestPushes:
     """Small changes are pushed; large ones are announced by a digest."""
 
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -4,6 +4,7 @@
 against malformed input that raises an unexpected error.
 """
 
+import asyncio
 import json
 from base64 import b64encode
 from contextlib import suppress
@@ -14,6 +15,7 @@
 from result import Err, Ok
 
 from ragwortpost.datapath.connection import format_flow
+from ragwortpost.datapath.process import StorePoint
 from ragwortpost.datapath.version import (
     Changes,
     Configuration,
@@ -24,7 +26,12 @@
     encode_changes,
 )
 from ragwortpost.datapath.version.tests.documents import at
-from ragwortpost.platform import PlatformPacketFormat, parse_settings
+from ragwortpost.platform import (
+    PlatformPacketFormat,
+    PlatformStore,
+    parse_settings,
+)
+from ragwortpost.platform._http_client import HttpConnection, HttpResponse
 from ragwortpost.platform._item_decoder import UnusableItemError, decode_item
 
 SYN = bytes.fromhex(
@@ -258,6 +265,35 @@
                 decode_item(item)
 
 
+class TestStore:
+    """The store's era is read from the headers of responses."""
+
+    def test_read_fails_if_the_store_is_restored_between_pages(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        store = PlatformStore(('10.200.1.7', 1))
+        eras = iter(('0', '1'))
+        page = {'items': [stored('other', {})], 'storeRevision': 7}
+
+        async def answer(*_: object) -> HttpResponse:
+            body = json.dumps({**page, 'hasMore': True}).encode()
+            return HttpResponse(200, body, {'store-era': next(eras)})
+
+        monkeypatch.setattr(HttpConnection, 'get', answer)
+        assert asyncio.run(store.read_all(stale=False)).is_err()
+
+    def test_probe_of_a_missing_key_reports_the_era(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        store = PlatformStore(('10.200.1.7', 1))
+
+        async def answer(*_: object) -> HttpResponse:
+            return HttpResponse(404, b'', {'store-era': ' 3'})
+
+        monkeypatch.setattr(HttpConnection, 'get', answer)
+        assert asyncio.run(store.probe()) == Ok(StorePoint(0, '3'))
+
+
 class TestSettingsFile:
     """The settings file is parsed."""
 
