--- a/src/ragwortpost/datapath/version/_eras.py
+++ b/src/ragwortpost/datapath/version/_eras.py
@@ -27,6 +27,11 @@
         """All marks."""
         return tuple(self._marks.values())
 
+    def base_of(self, era: int) -> int:
+        """Return the revision after which documents belong to an era."""
+        mark = self._marks.get(era)
+        return mark.base if mark else 0
+
     def reached_of(self, era: int) -> int:
         """Return the revision up to which all changes of an era are known."""
         mark = self._marks.get(era)
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -52,6 +52,8 @@
         self._sequences: dict[str, int] = {}
         # Revisions of the records of data centres that deletions replaced.
         self._deleted: dict[str, int] = {}
+        # Base of the era at the last full read by this process.
+        self._read_base = 0
         self._fingerprint = 0
 
     @property
@@ -83,7 +85,12 @@
 
     @property
     def has_withheld(self) -> bool:
-        """Whether the restored store has upstreams that were seen gone."""
+        """Whether another read of the store may lift earlier deletions.
+
+        It has upstreams that were seen gone, or was read with a higher base.
+        """
+        if self._eras.base_of(self._version.era) < self._read_base:
+            return True
         return any(map(self._is_withheld, self._sequences))
 
     def get(self, subject: str) -> Record | None:
@@ -122,6 +129,7 @@
             self._eras.learn((EraMark(era, base, 0),))
         dated = [self._date(record, era) for record in changes.records]
         if changes.complete:
+            self._read_base = self._eras.base_of(era)
             named = {record.subject for record in dated}
             for subject in self._sequences.keys() - named:
                 self._sequences.pop(subject)
@@ -198,6 +206,7 @@
             if not isinstance(record.document, Configuration | None)
         }
         self._sequences.clear()
+        self._read_base = 0
         self._version = StateVersion(version.era, 0)
 
     def _date(self, record: Record, era: int) -> Record:
@@ -242,7 +251,8 @@
             joined = resolve(known, record)
         if joined is not known:
             self._put(joined)
-        if joined.document is not None:
+        # A deletion says nothing about what the store lists.
+        if joined.document is not None and record.document is not None:
             was_absent = getattr(known, 'document', None) is None
             self._update_kept(record.subject, changes, was_absent=was_absent)
         return None if joined is known else joined
