Exchange versions with peers again before a process starts to serve

Cause: a process that starts reads the platform and exchanges versions with its seeds at the same time, and knows no other peers. While the platform served an old version, a restarted process used an upstream that operators had taken out, until its first round of gossip.

Change: it exchanges versions with a few peers of the VM list once it has read that. All of it stays within the limit of the first synchronization.

--- a/src/ragwortpost/process/_node.py
+++ b/src/ragwortpost/process/_node.py
@@ -129,6 +129,9 @@
         try:
             async with asyncio.timeout(FIRST_SYNC_TIMEOUT_SECONDS):
                 await self.sync_versions()
+                # The platform may have served an old version. The VM list that
+                # was read with it names peers that know the one in force.
+                await self.gossip.exchange_with_some()
         except TimeoutError:
             logging.warning('event=start_without_view')
         for work in (
--- a/tests/scenarios/versions.feature
+++ b/tests/scenarios/versions.feature
@@ -77,3 +77,25 @@
     And process entry-1 starts
     And 5s pass
     Then the last change is in force everywhere
+
+  @ours_only
+  Scenario: An entry restarts while the platform has gone back
+    Given a Cedarline fleet
+    When operators set state of upstream badge-desk/hall-south/3 to out
+    And 3s pass
+    And the platform goes back to version 1
+    And process entry-1 is killed
+    And 1s passes
+    And process entry-1 starts
+    Then the last change is in force everywhere
+
+  @ours_only
+  Scenario: An agent restarts while the platform has gone back
+    Given a Cedarline fleet
+    When operators set state of upstream badge-desk/hall-south/3 to out
+    And 3s pass
+    And the platform goes back to version 1
+    And process badge-desk/hall-south/4 is killed
+    And 1s passes
+    And process badge-desk/hall-south/4 starts
+    Then the last change is in force everywhere
