--- a/src/ragwortpost/datapath/process/tests/test_faults_of_others.py
+++ b/src/ragwortpost/datapath/process/tests/test_faults_of_others.py
@@ -17,6 +17,7 @@
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
 from ragwortpost.datapath.version import Record
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     upstream,
     upstream_record,
 )
@@ -54,7 +55,7 @@
         network.upstreams[holder].flows.clear()
         network.upstreams[holder].responds = responds
         document = next(one for one in network.documents if one.host == holder)
-        network.publish(Record(f'upstream/{document.ident}', 0, None))
+        network.publish(Record(f'upstream/{document.ident}', at(0), None))
         network.to_callers.clear()
         for _ in range(20):
             send_request(network, holder)
@@ -89,6 +90,24 @@
         assert not requests_at(network, second)
         assert not network.resets
 
+    def test_opening_packet_repeated_through_another_entry(self) -> None:
+        # The first entry opened the flow; the second finds no room for it.
+        network = Network(upstream(1), upstream(2))
+        holder = open_flow(network)
+        for document in network.documents:
+            if document.host == holder:
+                leaving = replace(document, leaving=True)
+                network.publish(upstream_record(0, leaving))
+            else:
+                network.upstreams[document.host].accepts = False
+        network.add_entry(SECOND_ENTRY)
+        repeated = make_packet(FLOW, opens=True, acknowledged=0, flow_age=0.2)
+        network.send_packet(repeated, SECOND_ENTRY)
+        for _ in range(10):
+            send_request(network, holder, SECOND_ENTRY)
+            network.advance(0.2)
+        assert not network.resets
+
 
 class TestPlannedStops:
     """A stop cuts no flow that was just opened."""
--- a/src/ragwortpost/datapath/process/tests/test_upstream_index.py
+++ b/src/ragwortpost/datapath/process/tests/test_upstream_index.py
@@ -16,6 +16,7 @@
 from ragwortpost.datapath.process.tests.network import ENTRY, Network
 from ragwortpost.datapath.version import Record, TakenOut, UpstreamEntry
 from ragwortpost.datapath.version.tests.documents import (
+    at,
     upstream,
     upstream_record,
 )
@@ -52,5 +53,5 @@
         network.publish(upstream_record(0, upstream(11, slots=50)))
         index.select(DESK, ())
         assert '10.0.0.11' in evaluated
-        network.publish(Record('drained/north', 0, TakenOut('north')))
+        network.publish(Record('drained/north', at(0), TakenOut('north')))
         assert index.select(DESK, ()) is None
