Serve waiting flows first that can still meet their target

Cause: waiting flows were served strictly by the earliest deadline.

Change: within a priority, flows that can still be served within their target come first, and overdue ones after them by their deadline. Where nothing is overdue the order is as before.

--- a/src/ragwortpost/datapath/connection/__init__.py
+++ b/src/ragwortpost/datapath/connection/__init__.py
@@ -105,6 +105,7 @@
     max_wait,
     refusal_time,
     should_refuse,
+    useful_wait,
 )
 from ragwortpost.datapath.connection._waiting_queue import (
     RefusalTimes,
@@ -178,5 +179,6 @@
     'select_local_first',
     'select_upstream',
     'should_refuse',
+    'useful_wait',
     'slowdown',
 ]
--- a/src/ragwortpost/datapath/connection/_waiting_policy.py
+++ b/src/ragwortpost/datapath/connection/_waiting_policy.py
@@ -122,7 +122,7 @@
     longest = max_wait(limits)
     if congestion.returning:
         return waited >= longest
-    useful = min(limits.target * TARGET_SHARE, longest)
+    useful = useful_wait(limits)
     if congestion.seconds > LASTING_SECONDS:
         longest = useful
     if waited >= longest:
@@ -132,6 +132,11 @@
     return waited + (ahead + 1) / congestion.rate > useful
 
 
+def useful_wait(limits: WaitLimits) -> float:
+    """Return the seconds of wait that leave a request its target."""
+    return min(limits.target * TARGET_SHARE, max_wait(limits))
+
+
 def refusal_time(
     limits: WaitLimits, started_at: float, now: float, *, returning: bool
 ) -> float:
@@ -144,6 +149,6 @@
     longest = max_wait(limits)
     if returning:
         return started_at + longest
-    useful = min(limits.target * TARGET_SHARE, longest)
+    useful = useful_wait(limits)
     review = max(started_at + useful, now + max(useful, MIN_REVIEW_SECONDS))
     return min(review, started_at + longest)
--- a/src/ragwortpost/datapath/connection/_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/_waiting_queue.py
@@ -1,11 +1,14 @@
 """The new flows of one service that wait at an entry, in order.
 
-More urgent priorities come first, and the earliest deadline within a priority.
+More urgent priorities come first. Within a priority, flows that can still be
+served within their target come first, and then the earliest deadline.
 The flows of a priority are a sorted list and not a heap, so that the number of
 flows before a new one is known also where it is not the last.
 """
 
+import math
 from bisect import bisect_left, insort
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -23,18 +26,26 @@
 
 # Deadline of a flow and its number, which orders equal deadlines by arrival.
 Place: TypeAlias = tuple[float, int]
-_QueuedFlow: TypeAlias = tuple[Place, FlowKey]
+# Its place, the flow, and the time from which it is overdue.
+_QueuedFlow: TypeAlias = tuple[Place, FlowKey, float]
 _CallerKey: TypeAlias = tuple[bytes, RouteKey]
 _ADDRESS_BYTES: Final = 4
 
 
 class WaitingQueue:
-    """The waiting flows of one service."""
+    """The waiting flows of one service.
+
+    Within a priority, flows that can still be served within their target come
+    before overdue ones. Otherwise, each of them would wait in an overload until
+    it is too late for the target.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._places: dict[int, list[_QueuedFlow]] = {}
+        self._timely: dict[int, list[_QueuedFlow]] = {}
+        self._overdue: dict[int, list[_QueuedFlow]] = {}
         self._by_flow: dict[FlowKey, tuple[int, _QueuedFlow]] = {}
+        self._counts: Counter[int] = Counter()
 
     def __len__(self) -> int:
         """Return the number of waiting flows."""
@@ -43,15 +54,24 @@
     @property
     def counts(self) -> Mapping[int, int]:
         """Number of waiting flows, by priority."""
-        return {
-            priority: len(places) for priority, places in self._places.items()
-        }
-
-    def add(self, flow: FlowKey, priority: int, place: Place) -> None:
-        """Add a flow that does not wait yet."""
-        queued = (place, flow)
-        insort(self._places.setdefault(priority, []), queued)
+        return self._counts
+
+    def add(
+        self,
+        flow: FlowKey,
+        priority: int,
+        place: Place,
+        overdue_at: float = math.inf,
+    ) -> None:
+        """Add a flow that does not wait yet.
+
+        From ``overdue_at`` on, in monotonic seconds, it can't be served within
+        its target.
+        """
+        queued = (place, flow, overdue_at)
+        insort(self._timely.setdefault(priority, []), queued)
         self._by_flow[flow] = (priority, queued)
+        self._counts[priority] += 1
 
     def remove(self, flow: FlowKey) -> None:
         """Remove a flow, if it waits."""
@@ -59,33 +79,55 @@
         if known is None:
             return
         priority, queued = known
-        places = self._places[priority]
-        places.pop(bisect_left(places, queued))
-        if not places:
-            self._places.pop(priority)
+        if not _remove(self._timely.get(priority, []), queued):
+            _remove(self._overdue[priority], queued)
+        self._counts[priority] -= 1
+        if not self._counts[priority]:
+            self._counts.pop(priority)
 
-    def first(self) -> FlowKey | None:
+    def first(self, now: float = -math.inf) -> FlowKey | None:
         """Return the flow whose turn it is, or none if no flow waits."""
-        if not self._places:
-            return None
-        return self._places[min(self._places)][0][1]
+        first = self._first(now)
+        return None if first is None else first[1]
 
     def has_before(self, priority: int) -> bool:
         """Return whether a flow of this or a more urgent priority waits."""
-        return bool(self._places) and min(self._places) <= priority
+        return bool(self._counts) and min(self._counts) <= priority
 
     def ahead(self, priority: int, place: Place) -> int:
         """Return how many flows of a priority come before a place."""
-        places = self._places.get(priority, [])
-        return bisect_left(places, (place, b''))
-
-    def demand(self) -> Demand | None:
+        timely = self._timely.get(priority, [])
+        overdue = self._overdue.get(priority, [])
+        at = bisect_left(overdue, (place, b'', 0))
+        if at < len(overdue) and overdue[at][0] == place:
+            return len(timely) + at
+        return bisect_left(timely, (place, b'', 0))
+
+    def demand(self, now: float = -math.inf) -> Demand | None:
         """Return what agents are told, or none if no flow waits."""
-        if not self._places:
+        first = self._first(now)
+        if first is None:
+            return None
+        return Demand(len(self), min(self._counts), first[0][0])
+
+    def _first(self, now: float) -> _QueuedFlow | None:
+        if not self._counts:
             return None
-        priority = min(self._places)
-        deadline = self._places[priority][0][0][0]
-        return Demand(len(self), priority, deadline)
+        priority = min(self._counts)
+        timely = self._timely.get(priority, [])
+        overdue = self._overdue.setdefault(priority, [])
+        while timely and timely[0][2] <= now:
+            insort(overdue, timely.pop(0))
+        return timely[0] if timely else overdue[0]
+
+
+def _remove(queue: list[_QueuedFlow], queued: _QueuedFlow) -> bool:
+    """Remove a flow from a sorted queue; return whether it was there."""
+    at = bisect_left(queue, queued)
+    if at == len(queue) or queue[at] != queued:
+        return False
+    queue.pop(at)
+    return True
 
 
 class RefusalTimes:
--- a/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
@@ -41,6 +41,21 @@
             order.append(FLOWS.index(flow))
         assert order == [3, 2, 0, 4, 1]
 
+    def test_flows_that_miss_their_target_come_last(self) -> None:
+        # In an overload, every flow would otherwise wait until it is overdue.
+        queue = WaitingQueue()
+        for number, flow in enumerate(FLOWS[:3]):
+            queue.add(flow, 1, (number, number), overdue_at=number + 0.5)
+        assert queue.first(0) == FLOWS[0]
+        assert queue.first(1) == FLOWS[1]
+        assert queue.ahead(1, (0, 0)) == 2
+        assert queue.ahead(1, (9, 9)) == 2
+        queue.remove(FLOWS[1])
+        queue.remove(FLOWS[2])
+        assert queue.first(1) == FLOWS[0]
+        queue.remove(FLOWS[0])
+        assert queue.first(1) is None
+
     def test_the_flows_before_a_new_one_are_counted(self) -> None:
         queue = self.queue()
         assert queue.ahead(2, (0.1, 9)) == 2
--- a/src/ragwortpost/datapath/process/_new_flows.py
+++ b/src/ragwortpost/datapath/process/_new_flows.py
@@ -26,6 +26,7 @@
     refusal_time,
     route_key_of,
     should_refuse,
+    useful_wait,
 )
 from ragwortpost.datapath.process._messages import RoomGrant
 from ragwortpost.datapath.process._node_context import NodeContext
@@ -170,8 +171,9 @@
         waiting = self._services.get(service)
         if waiting is None:
             return
+        now = self._clock.monotonic()
         for _ in range(grant.flows):
-            flow = waiting.queue.first()
+            flow = waiting.queue.first(now)
             if flow is None:
                 self._return_room(service, waiting, agent)
                 return
@@ -251,11 +253,12 @@
     def _serve(self, service: str) -> None:
         """Offer waiting flows while upstreams have free slots."""
         queue = self._services[service].queue
+        now = self._clock.monotonic()
         # Each flow once: an agent may refuse it although it has a free slot.
         remaining = len(queue)
         while remaining:
             remaining -= 1
-            flow = queue.first()
+            flow = queue.first(now)
             candidate = self._selector.select_idle(service)
             if flow is None or candidate is None:
                 return
@@ -274,7 +277,8 @@
             return
         now = self._clock.monotonic()
         self._pending.mark_waiting(pending)
-        waiting.queue.add(flow, route.priority, place)
+        overdue_at = pending.arrived_at + useful_wait(limits)
+        waiting.queue.add(flow, route.priority, place, overdue_at)
         self._schedule_review(pending, limits)
         if waiting.waiting_since is None:
             waiting.waiting_since = now
@@ -355,11 +359,11 @@
             service.queue.remove(flow)
 
     def _send_demands(self, name: str, waiting: _ServiceQueue) -> None:
-        demand = waiting.queue.demand()
+        now = self._clock.monotonic()
+        demand = waiting.queue.demand(now)
         if demand is None:
             return
         agents = self._selector.demand_agents(name)
-        now = self._clock.monotonic()
         for agent in waiting.demands.due(agents, demand, now):
             self._ports.send_demand(agent, name, demand)
 
