--- a/src/ragwortpost/datapath/process/tests/test_view_gossip.py
+++ b/src/ragwortpost/datapath/process/tests/test_view_gossip.py
@@ -30,9 +30,11 @@
     upstream_record,
 )
 
-# Each pytest worker uses its own loopback network.
+# Each pytest worker uses its own loopback network, also where several test runs
+# share a machine: their workers have different parent processes.
 WORKER: Final = os.environ.get('PYTEST_XDIST_WORKER', 'gw0')
-NETWORK: Final = f'127.61.{WORKER.removeprefix("gw")}'
+RUN: Final = 60 + os.getppid() % 190
+NETWORK: Final = f'127.{RUN}.{WORKER.removeprefix("gw")}'
 HOSTS: Final = (f'{NETWORK}.1', f'{NETWORK}.2')
 UNUSED_HOST: Final = f'{NETWORK}.9'
 MALFORMED_HOST: Final = f'{NETWORK}.8'
