--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -90,3 +90,16 @@
     And the callers finish
     Then no flow broke
     And no event was skipped or repeated
+
+  @ours_only
+  Scenario: An agent is stopped gracefully while its peers run requests that it handed off
+    Given a Cedarline fleet
+    And upstreams take 3s a request
+    And 14 pullers on badge-desk every 0.3s
+    When 3s pass
+    And process badge-desk/hall-north/1 is stopped gracefully
+    And 8s pass
+    And the callers finish
+    Then no flow broke
+    And no outcome stayed unknown
+    And every refusal and answer was true
