Remove classes of flows that no flow has used for 30 s

Cause: UpstreamIndex kept each class for ever. A change of a route's target adds a class, and every load report costs time for each class.

Change: when a class is built again, classes without a selection within CLASS_IDLE_SECONDS are removed.

Tests: test_upstream_index.py passes.

--- a/src/ragwortpost/datapath/process/_upstream_index.py
+++ b/src/ragwortpost/datapath/process/_upstream_index.py
@@ -20,6 +20,9 @@
 # Upstreams that may get no flows at the moment are evaluated again after this
 # time, which is shorter than a tick.
 RETRY_SECONDS: Final = 0.015
+# Classes that no flow has used for this time are removed: a change of a route's
+# target adds a class.
+CLASS_IDLE_SECONDS: Final = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,8 @@
     unavailable: set[str] = field(default_factory=set)
     # Monotonic seconds at which these were evaluated.
     retried_at: float = 0
+    # Monotonic seconds of the last selection.
+    used_at: float = 0
 
 
 class UpstreamIndex:
@@ -72,6 +77,10 @@
         self._evaluate = evaluate
         self._classes: dict[FlowClass, _ClassIndex] = {}
 
+    def __len__(self) -> int:
+        """Return the number of classes that flows have used recently."""
+        return len(self._classes)
+
     def on_load_change(self, agent: str) -> None:
         """Record that the load of an agent has changed."""
         for index in self._classes.values():
@@ -101,13 +110,16 @@
             or now - index.built_at >= REBUILD_SECONDS
         ):
             index = _ClassIndex(LoadIndex(self._rng), fleet, now)
+            index.used_at = now
             self._classes[flow_class] = index
+            self._expire(now)
             for upstream in fleet.upstreams.get(flow_class.service, ()):
                 self._update(index, flow_class, upstream.host)
             return index
         if index.fleet is not fleet:
             index.changed.update(_changed_hosts(index.fleet, fleet))
             index.fleet = fleet
+        index.used_at = now
         if now - index.retried_at >= RETRY_SECONDS:
             index.retried_at = now
             index.changed |= index.unavailable
@@ -117,6 +129,12 @@
         index.changed.clear()
         return index
 
+    def _expire(self, now: float) -> None:
+        """Remove the classes that no flow has used recently."""
+        for flow_class, index in tuple(self._classes.items()):
+            if now - index.used_at > CLASS_IDLE_SECONDS:
+                self._classes.pop(flow_class)
+
     def _update(
         self, index: _ClassIndex, flow_class: FlowClass, agent: str
     ) -> Candidate | None:
