Compute the lowest targets of an agent's routes once for a configuration

Cause: the room of an upstream walked all routes for each packet of the upstream while entries wait for room (found in review by reading). Deployments have 240 routes.

Change: the lowest target by priority is kept for a configuration.

--- a/src/ragwortpost/datapath/process/_agent_room.py
+++ b/src/ragwortpost/datapath/process/_agent_room.py
@@ -15,6 +15,7 @@
     HeldFlows,
     Refusal,
     RoomGrants,
+    RouteKey,
     UpstreamLiveness,
     backlog_limit,
     grant_limit,
@@ -27,6 +28,7 @@
     service_tag,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
+from ragwortpost.datapath.version import Route
 
 # Maximum flows of an upstream until a configuration is known.
 DEFAULT_CONNECTION_LIMIT: Final = 2000
@@ -56,6 +58,8 @@
         self._liveness = liveness
         self._admission = Admission()
         self._grants = RoomGrants()
+        self._routes: Mapping[RouteKey, Route] = {}
+        self._targets: dict[int, float] = {}
         # The load at the upstream's last packet, or when room was last granted.
         self._last_load = 0
         self._send_to_peer: SendDatagram | None = None
@@ -156,14 +160,8 @@
 
     def _room(self, priority: int) -> int:
         """Return the room that may be granted to flows of a priority."""
-        targets = [
-            route.target
-            for route in self._state.fleet.routes.values()
-            if route.priority == priority
-            and any(share.service == self._service for share in route.shares)
-        ]
         inputs = self._inputs(
-            min(targets, default=math.inf),
+            self._lowest_targets().get(priority, math.inf),
             urgent=priority < self._least_urgent(),
         )
         upstream = self._state.fleet.upstreams_by_host.get(self._settings.host)
@@ -174,6 +172,22 @@
         held, load = len(self._held_flows), self._held_flows.load(now)
         return self._admission.room(inputs, held, load, now)
 
+    def _lowest_targets(self) -> Mapping[int, float]:
+        """Return the lowest target of the service's routes, by priority.
+
+        It is kept for a configuration: room is computed for each packet of the
+        upstream while flows wait, and there are hundreds of routes.
+        """
+        routes = self._state.fleet.routes
+        if routes is not self._routes:
+            self._routes = routes
+            self._targets = {}
+            for route in routes.values():
+                if any(one.service == self._service for one in route.shares):
+                    lowest = self._targets.get(route.priority, math.inf)
+                    self._targets[route.priority] = min(lowest, route.target)
+        return self._targets
+
     def _inputs(self, target: float, *, urgent: bool) -> AdmissionInputs:
         """Return the limits for flows of a route with a target."""
         fleet = self._state.fleet
