Check the age of the era in pushed changes; reword comments on demands

The adapted test of a pushed change compared the changes without the age of the era, so it was less strict than before; it checks the age now.

--- a/src/ragwortpost/datapath/connection/_demand_schedule.py
+++ b/src/ragwortpost/datapath/connection/_demand_schedule.py
@@ -1,4 +1,4 @@
-"""Decides when an entry tells an agent the demand of its waiting flows."""
+"""Decides when an entry sends an agent the demand of its waiting flows."""
 
 from collections.abc import Iterable, Iterator
 from typing import Final
@@ -29,7 +29,7 @@
                 yield agent
 
     def withdraw(self, agent: str) -> bool:
-        """Return whether an agent has to be told that no flow waits.
+        """Return whether the demand sent to an agent has to be withdrawn.
 
         It has to once after each demand.
         """
--- a/src/ragwortpost/datapath/connection/_room_grants.py
+++ b/src/ragwortpost/datapath/connection/_room_grants.py
@@ -1,6 +1,6 @@
-"""The ledger of an agent's room: who asked for it, and who was granted some.
+"""The demands of entries for an agent's room, and the grants of it.
 
-Entries whose new flows wait tell the agent their demand. Free room is granted
+Entries whose new flows wait send the agent their demand. Free room is granted
 to the most urgent demand, and counts as used until a flow uses it or it
 expires.
 """
--- a/src/ragwortpost/datapath/connection/_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/_waiting_queue.py
@@ -104,7 +104,7 @@
         return bisect_left(timely, (place, b'', 0))
 
     def demand(self, now: float = -math.inf) -> Demand | None:
-        """Return what agents are told, or none if no flow waits."""
+        """Return the demand to send to agents, or none if no flow waits."""
         first = self._first(now)
         if first is None:
             return None
--- a/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
@@ -1,4 +1,4 @@
-"""Tests of an entry's queue of waiting flows and of what it tells agents.
+"""Tests of an entry's queue of waiting flows and of its demands.
 
 Guards against a flow that is served before a more urgent or an earlier one,
 callers that lose their place by a refusal, and demands sent too often.
@@ -98,7 +98,7 @@
 
 
 class TestDemandSchedule:
-    """Agents are told a demand when it changes, and not too often."""
+    """A demand is sent when it changes, and not too often."""
 
     def test_changes_wait_for_the_interval(self) -> None:
         schedule = DemandSchedule()
--- a/src/ragwortpost/datapath/process/_new_flows.py
+++ b/src/ragwortpost/datapath/process/_new_flows.py
@@ -48,7 +48,7 @@
 
     # Sends an agent the opening packet of a new flow.
     offer: Callable[[Packet, str], None]
-    # Tells an agent how many flows of a service wait.
+    # Sends an agent the demand of a service's waiting flows.
     send_demand: Callable[[str, str, Demand], None]
     # Tells a caller that its flow is refused.
     refuse: Callable[[Packet], None]
--- a/src/ragwortpost/datapath/process/tests/test_view_gossip.py
+++ b/src/ragwortpost/datapath/process/tests/test_view_gossip.py
@@ -224,6 +224,7 @@
             pushed = decode(reader.sent[0][1])
             assert isinstance(pushed, Changes)
             assert pushed.marks == (EraMark(0, 0, 5),)
+            assert 0 <= pushed.era_age < 5
             assert replace(pushed, marks=(), era_age=0) == CHANGES
 
         run_scenario(scenario)
