--- a/src/ragwortpost/datapath/connection/_demand_schedule.py
+++ b/src/ragwortpost/datapath/connection/_demand_schedule.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from ragwortpost.datapath.connection._room_grants import Demand
+from ragwortpost.datapath.connection._room_grants import (
+    DEMAND_SECONDS,
+    Demand,
+)
 
 # Minimum time between two demands to one agent.
 MIN_INTERVAL_SECONDS: Final = 0.1
@@ -17,14 +20,21 @@
 
     def __init__(self) -> None:
         """Start without a sent demand."""
+        # By agent, in the order of their times, in monotonic seconds.
         self._sent: dict[str, tuple[Demand, float]] = {}
 
+    def __len__(self) -> int:
+        """Return the number of agents that may know a demand."""
+        return len(self._sent)
+
     def due(
         self, agents: Iterable[str], demand: Demand, now: float
     ) -> Iterator[str]:
         """Yield the agents to send a demand to, and record that it is sent."""
+        self._forget_dropped(now)
         for agent in agents:
             if self._is_due(agent, demand, now):
+                self._sent.pop(agent, None)
                 self._sent[agent] = (demand, now)
                 yield agent
 
@@ -41,6 +51,14 @@
         self._sent[agent] = (nothing, sent_at)
         return True
 
+    def _forget_dropped(self, now: float) -> None:
+        """Forget the demands that agents have dropped by now."""
+        while self._sent:
+            agent, (_, sent_at) = next(iter(self._sent.items()))
+            if now - sent_at <= DEMAND_SECONDS:
+                return
+            self._sent.pop(agent)
+
     def _is_due(self, agent: str, demand: Demand, now: float) -> bool:
         if agent not in self._sent:
             return True
--- a/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
+++ b/src/ragwortpost/datapath/connection/tests/test_waiting_queue.py
@@ -12,11 +12,15 @@
     Demand,
     DemandSchedule,
     LoadIndex,
+    RefusalPauses,
     RefusalTimes,
     RefusedCallers,
     WaitingQueue,
     select_upstream,
 )
+from ragwortpost.datapath.connection._refusal_pauses import (
+    FORGET_AFTER_SECONDS,
+)
 from ragwortpost.datapath.connection.tests.packets import flow_key
 
 FLOWS = [flow_key(number) for number in range(5)]
@@ -126,6 +130,24 @@
         assert [schedule.withdraw('a') for _ in range(2)] == [True, False]
         assert not schedule.withdraw('b')
 
+    def test_agents_that_dropped_the_demand_are_forgotten(self) -> None:
+        # Addresses of agents that have left would otherwise stay for ever.
+        schedule = DemandSchedule()
+        for number in range(100):
+            list(schedule.due([f'agent {number}'], Demand(1, 0, 9), number))
+        assert len(schedule) == 1
+
+
+class TestRefusalPauses:
+    """Pauses get longer with each refusal, and are forgotten."""
+
+    def test_agents_without_refusals_are_forgotten(self) -> None:
+        pauses = RefusalPauses()
+        for number in range(100):
+            pauses.record(f'agent {number}', number)
+        assert len(pauses) <= FORGET_AFTER_SECONDS + 2
+        assert pauses.is_paused('agent 99', 99)
+
 
 class TestLoadIndex:
     """The index selects what a walk over all candidates selects."""
