--- a/src/ragwortpost/datapath/process/tests/network.py
+++ b/src/ragwortpost/datapath/process/tests/network.py
@@ -232,6 +232,14 @@
     def send_packet(self, packet: Packet, entry: str = ENTRY) -> None:
         self.entry_nodes[entry].receive_packet(packet.raw, ('caller', 0))
 
+    def send_request(
+        self, flow: FlowKey, holder: str, entry: str = ENTRY
+    ) -> None:
+        """Send a request on a flow that an upstream has accepted."""
+        sequence = self.upstreams[holder].flows.get(flow, 500)
+        packet = make_packet(flow, length=20, acknowledged=sequence + 1)
+        self.send_packet(packet, entry)
+
     def holder(self, flow: FlowKey) -> str:
         holders = [
             host for host, fake in self.upstreams.items() if flow in fake.flows
--- a/src/ragwortpost/datapath/process/tests/virtual_fleet.py
+++ b/src/ragwortpost/datapath/process/tests/virtual_fleet.py
@@ -38,9 +38,9 @@
 )
 from ragwortpost.datapath.version import Changes, Record, UpstreamEntry
 from ragwortpost.datapath.version.tests.documents import (
-    at,
     CONFIGURATION,
     ROUTE,
+    at,
     configuration_record,
     upstream,
     upstream_record,
