Keep upstreams leaving that began to leave after a restore of the store

An upstream starts after a backup; after the restore its first write says that it leaves, and gets a revision below that of its start. Replicas that knew the start took the write for an older one, so the upstream stayed ready, or went from leaving to ready at a replica that read the store first.

Ruled out: the dating of the other documents of the backup, which is right in both traces.

Change: the sequence of an incarnation orders its states. A leaving state with a higher sequence and a lower revision shows that the store has assigned that revision again, which lowers the base of the era; and such a state is kept when two records of one era are compared.

Measured: both histories are tests of their own now.

--- a/src/ragwortpost/datapath/process/tests/test_store_eras.py
+++ b/src/ragwortpost/datapath/process/tests/test_store_eras.py
@@ -5,7 +5,9 @@
 """
 
 from dataclasses import dataclass, replace
+from typing import Final, TypeAlias
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -259,6 +261,39 @@
         assert replica.state.fingerprint == first.fingerprint
 
 
+Step: TypeAlias = tuple[str, str | int]
+
+# An upstream starts after a backup, and begins to leave after its restore. The
+# restored store assigns a revision below that of the start to this state.
+LEAVING_AFTER_RESTORE: Final[tuple[Step, ...]] = (
+    ('drain_or_return', 'north'),
+    ('drain_or_return', 'north'),
+    ('start_upstream', 3),
+    ('watch', 0),
+    ('drain_or_return', 'north'),
+    ('restore', 0),
+    ('drain_upstream', 3),
+)
+HISTORIES: Final[tuple[tuple[Step, ...], ...]] = (
+    LEAVING_AFTER_RESTORE,
+    # A process without earlier knowledge reads the restored store first.
+    (*LEAVING_AFTER_RESTORE, ('watch', 1)),
+)
+
+
+class TestHistories:
+    """Replicas keep what they knew in histories that once failed."""
+
+    @pytest.mark.parametrize('history', HISTORIES)
+    def test_nothing_is_undone(self, history: tuple[Step, ...]) -> None:
+        machine = RestoredStoreMachine()
+        machine.publish_first()
+        for operation, target in history:
+            getattr(machine, operation)(target)
+            machine.nothing_is_undone()
+        machine.teardown()
+
+
 TestRestoredStore = RestoredStoreMachine.TestCase
 TestRestoredStore.settings = settings(
     max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
--- a/src/ragwortpost/datapath/version/_resolution.py
+++ b/src/ragwortpost/datapath/version/_resolution.py
@@ -4,7 +4,7 @@
 that exchange their records agree, whatever eras their views were in. Versions
 are compared first. Two kinds of knowledge are kept from the older record: the
 highest version of the configuration, and that an incarnation of an upstream
-was leaving in an earlier era.
+was leaving in an earlier era or in a state that it published later.
 """
 
 from dataclasses import replace
@@ -12,6 +12,7 @@
 from ragwortpost.datapath.version._changes import Record
 from ragwortpost.datapath.version._documents import (
     Configuration,
+    Document,
     TakenOut,
     UpstreamEntry,
 )
@@ -62,11 +63,28 @@
     return True
 
 
+def began_leaving(before: Document | None, after: Document | None) -> bool:
+    """Return whether an incarnation published a state of leaving later.
+
+    Its sequence orders the states even where a restore has set the revisions
+    back between them.
+    """
+    match before, after:
+        case (
+            UpstreamEntry(leaving=False, born=born, sequence=sequence),
+            UpstreamEntry(leaving=True, born=later_born, sequence=later),
+        ):
+            return born == later_born and sequence < later
+    return False
+
+
 def _keep_leaving(record: Record, superseded: Record) -> Record:
-    """Return a record, leaving if its incarnation was so in another era."""
+    """Return a record, leaving if its incarnation is known to be so."""
     is_later = record.version > superseded.version
     if is_later and record.version.era == superseded.version.era:
-        return record
+        # A record of one era may be dated too early, but not too late.
+        if not began_leaving(record.document, superseded.document):
+            return record
     match record.document, superseded.document:
         case (
             UpstreamEntry(leaving=False, born=born) as upstream,
--- a/src/ragwortpost/datapath/version/_restore_evidence.py
+++ b/src/ragwortpost/datapath/version/_restore_evidence.py
@@ -7,6 +7,7 @@
 from ragwortpost.datapath.version._eras import EraMarks
 from ragwortpost.datapath.version._resolution import (
     are_different_writes,
+    began_leaving,
     resolve,
 )
 from ragwortpost.datapath.version._state_version import StateVersion
@@ -87,6 +88,8 @@
     if known is None:
         return False
     revision = record.version.revision
+    if revision < known.version.revision:
+        return began_leaving(known.document, record.document)
     latest = StateVersion(known.version.era + 1, revision)
     if resolve(known, Record(record.subject, latest, record.document)) is known:
         # A lower configuration: the known record is not the latest one.
