Keep what was known through five further histories of a restored store

Traces: - The backup has an older write of an order to drain a data centre than a replica knew, and the replica takes it for a new order. - The only reader of the restored store knows nothing of before, so it dates new writes back. The replica that could tell learned the base, but not the reader. - An upstream starts again under its identity at a revision below the known one. - A replica that was cut off for 12 s counts a drained data centre as returned, although operators wrote the order again. - A replica that first reads the store after a document was deleted takes the document back from a peer that saw an earlier write of the era.

Ruled out: deciding by the revision of the older write alone. The first history and one in which the order is new look the same then.

Change: an order to drain carries the store's revision of its creation (message 19 in place of 14). Evidence of reassigned revisions is looked for on both sides when complete states of two eras are merged, a later start counts as such, and the base is part of the fingerprint, so that views that differ in it are pulled. A drained data centre that the store has lost is kept until the view was confirmed after the grace period. A read of the whole store remembers what it lacked.

Changed checks: the test of the grace period confirms the view, as a process in touch does, and a new one guards the process that is cut off.

--- a/src/ragwortpost/datapath/process/_codec.py
+++ b/src/ragwortpost/datapath/process/_codec.py
@@ -47,14 +47,15 @@
 )
 
 # Numbers 2, 3, 4 and 7 had layouts without the pace of upstreams and the
-# priority of routes; 8, 9 and 11 had layouts without the era of the store.
+# priority of routes; 8, 9 and 11 had layouts without the era of the store, and
+# 14 one without the time of the order to drain a data centre.
 _FORWARD: Final = 1
 _REGISTRATION: Final = 5
 _FLOW_QUERY: Final = 6
 _FLOW_QUERY_REPLY: Final = 10
 _DIGEST: Final = 12
 _FORWARD_REPLY: Final = 13
-_CHANGES: Final = 14
+_CHANGES: Final = 19
 # Longer paces are sent as this one.
 _MAX_PACE_MS: Final = 0xFFFF
 # Maximum flows in one message; with the header they nearly fill a datagram.
--- a/src/ragwortpost/datapath/process/_fleet_state.py
+++ b/src/ragwortpost/datapath/process/_fleet_state.py
@@ -195,23 +195,29 @@
         """Remove records that were not written again after a restore."""
         if not self._view.kept:
             return False
-        era_age = now - self._era_started_at
         forgotten = self._view.forget(
             [
                 subject
                 for subject in self._view.kept
-                if era_age > self._grace_of(subject)
+                if self._is_lost(subject, now)
             ]
         )
         for record in forgotten:
             self._log.write_change(record, self.version, 'expired')
         return bool(forgotten)
 
-    def _grace_of(self, subject: str) -> float:
+    def _is_lost(self, subject: str, now: float) -> bool:
+        """Return whether a record's grace period has ended.
+
+        A process that is cut off from the store and its peers can't know
+        whether operators have drained a data centre again meanwhile, so that
+        period counts only up to the last confirmation.
+        """
         record = self._view.get(subject)
         if record is not None and isinstance(record.document, TakenOut):
-            return DRAINED_GRACE_SECONDS
-        return LAPSE_GRACE_SECONDS
+            confirmed_at = min(now, self._confirmed_at)
+            return confirmed_at - self._era_started_at > DRAINED_GRACE_SECONDS
+        return now - self._era_started_at > LAPSE_GRACE_SECONDS
 
     def _replaced_records(self, changes: Changes) -> Mapping[str, Record]:
         """Return the records that changes may replace, by subject."""
--- a/src/ragwortpost/datapath/process/_message_meter.py
+++ b/src/ragwortpost/datapath/process/_message_meter.py
@@ -63,7 +63,7 @@
         11: CHANGES,
         12: DIGEST,
         13: REPLY,
-        14: CHANGES,
+        19: CHANGES,
         15: LOOKUP,
         16: REPLY,
         17: DEMAND,
--- a/src/ragwortpost/datapath/process/tests/restored_store.py
+++ b/src/ragwortpost/datapath/process/tests/restored_store.py
@@ -17,6 +17,7 @@
     Document,
     Record,
     StateVersion,
+    TakenOut,
 )
 from ragwortpost.datapath.version.tests.documents import upstream
 
@@ -35,6 +36,10 @@
 
     def put(self, subject: str, document: Document) -> None:
         self.revision += 1
+        if isinstance(document, TakenOut):
+            _, existing = self.items.get(subject, (0, None))
+            created = getattr(existing, 'created', self.revision)
+            document = replace(document, created=created)
         self.items[subject] = (self.revision, document)
         self.events.append((subject, self.revision, document))
 
@@ -89,6 +94,7 @@
         )
         version = StateVersion(store.era, store.revision)
         self.state.merge_read(Changes(state.version, version, tuple(records)))
+        self.state.confirm(version, 0)
 
     def gossip(self, peer: 'Replica') -> None:
         """Receive a digest of a peer and pull what it calls for."""
@@ -109,6 +115,7 @@
                 self.reconciliation.record_pull(
                     peer.name, state.version, pulled.version, now
                 )
+        state.confirm(peer.state.version, peer.state.age)
 
 
 def changed(document: Document, **changes: object) -> Document:
--- a/src/ragwortpost/datapath/process/tests/test_fleet_state.py
+++ b/src/ragwortpost/datapath/process/tests/test_fleet_state.py
@@ -82,12 +82,23 @@
     def test_data_centre_stays_drained_for_longer(self) -> None:
         network, state = self.restored()
         network.clock.time += DRAINED_GRACE_SECONDS - 0.1
+        state.confirm(state.version, 0)
         state.expire()
         assert state.fleet.drained_data_centres == {'south'}
         network.clock.time += 0.2
+        state.confirm(state.version, 0)
         state.expire()
         assert not state.fleet.drained_data_centres
 
+    def test_data_centre_stays_drained_while_the_process_is_cut_off(
+        self,
+    ) -> None:
+        # Operators may have written the lost record again.
+        network, state = self.restored()
+        network.clock.time += 2 * DRAINED_GRACE_SECONDS
+        state.expire()
+        assert state.fleet.drained_data_centres == {'south'}
+
     def test_configuration_is_kept(self) -> None:
         network, state = self.restored()
         older = replace(CONFIGURATION, version=CONFIGURATION.version - 1)
--- a/src/ragwortpost/datapath/version/_changes.py
+++ b/src/ragwortpost/datapath/version/_changes.py
@@ -54,7 +54,7 @@
 _CONFIGURATION_DECODER: Final[Decoder[Any]] = Decoder(
     tuple[int, int, tuple[_RouteRow, ...], tuple[_PolicyRow, ...], _Seconds]
 )
-_TAKEN_OUT_DECODER: Final[Decoder[Any]] = Decoder(tuple[int, str])
+_TAKEN_OUT_DECODER: Final[Decoder[Any]] = Decoder(tuple[int, str, Natural])
 _UPSTREAM_DECODER: Final[Decoder[Any]] = Decoder(
     tuple[int, str, str, Host, str, Natural, bool, _Seconds, int, Natural]
 )
@@ -235,8 +235,7 @@
 
 
 def _decode_taken_out(row: Raw) -> TakenOut:
-    _, data_centre = _TAKEN_OUT_DECODER.decode(row)
-    return TakenOut(data_centre)
+    return TakenOut(*_TAKEN_OUT_DECODER.decode(row)[1:])
 
 
 def _decode_upstream(row: Raw) -> UpstreamEntry:
--- a/src/ragwortpost/datapath/version/_documents.py
+++ b/src/ragwortpost/datapath/version/_documents.py
@@ -68,6 +68,9 @@
 
     # The data centre's name.
     data_centre: str
+    # Store revision at which operators drained it; later writes of the same
+    # order keep it. Zero if it is not known.
+    created: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/ragwortpost/datapath/version/_restore_evidence.py
+++ b/src/ragwortpost/datapath/version/_restore_evidence.py
@@ -1,9 +1,15 @@
 """Evidence about what happened to the store around its last restore."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from ragwortpost.datapath.version._changes import Changes, Record
+from ragwortpost.datapath.version._documents import (
+    Document,
+    TakenOut,
+    UpstreamEntry,
+)
 from ragwortpost.datapath.version._eras import EraMarks
 from ragwortpost.datapath.version._resolution import (
     are_different_writes,
@@ -53,6 +59,37 @@
     return min(assigned_again, default=changes.version.revision + 1) - 1
 
 
+def backup_listing(changes: Changes) -> Changes:
+    """Return the documents of a state that it takes for those of the backup.
+
+    A process that started after the restore can't tell which of them are newer.
+    """
+    return replace(
+        changes,
+        records=tuple(
+            record
+            for record in changes.records
+            if record.document is not None
+            and record.version.era < changes.version.era
+            and record.subject not in changes.kept
+        ),
+    )
+
+
+def is_same_order(known: Record, listed: Record) -> bool:
+    """Return whether two records are of one order to drain a data centre.
+
+    Where the store tells when the order was given, it may have been written
+    again between the two.
+    """
+    match known.document, listed.document:
+        case TakenOut(created=known_created), TakenOut(created=created) if (
+            known_created and created
+        ):
+            return known_created == created
+    return known.version.revision == listed.version.revision
+
+
 def contested_subjects(changes: Changes, view: KnownState) -> tuple[str, ...]:
     """Return documents that one state lists and the other has only kept.
 
@@ -89,9 +126,19 @@
         return False
     revision = record.version.revision
     if revision < known.version.revision:
-        return began_leaving(known.document, record.document)
+        return _is_later_state(known.document, record.document)
     latest = StateVersion(known.version.era + 1, revision)
     if resolve(known, Record(record.subject, latest, record.document)) is known:
         # A lower configuration: the known record is not the latest one.
         return False
     return known.version.revision < revision <= reached
+
+
+def _is_later_state(before: Document | None, after: Document | None) -> bool:
+    """Return whether an upstream published one state after another."""
+    match before, after:
+        case UpstreamEntry(born=born), UpstreamEntry(born=later_born) if (
+            born < later_born
+        ):
+            return True
+    return began_leaving(before, after)
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -20,7 +20,9 @@
 from ragwortpost.datapath.version._eras import EraMarks
 from ragwortpost.datapath.version._resolution import resolve
 from ragwortpost.datapath.version._restore_evidence import (
+    backup_listing,
     contested_subjects,
+    is_same_order,
     revision_before_writes,
 )
 from ragwortpost.datapath.version._state_version import (
@@ -50,8 +52,10 @@
         # Sequences of the upstreams from the backup, as of the first read of
         # the era by this process.
         self._sequences: dict[str, int] = {}
-        # Revisions of the records of data centres that deletions replaced.
-        self._deleted: dict[str, int] = {}
+        # Revisions at which the store, read as a whole, lacked known documents.
+        self._absent: dict[str, int] = {}
+        # Records of drained data centres that deletions replaced.
+        self._deleted: dict[str, Record] = {}
         # Base of the era at the last full read by this process.
         self._read_base = 0
         self._fingerprint = 0
@@ -63,12 +67,16 @@
 
     @property
     def fingerprint(self) -> int:
-        """Hash of the existing documents and their versions.
+        """Hash of the existing documents, their versions and the era's base.
 
         Views of the same version differ where one process knew more than
         another before the store was restored.
         """
-        return self._fingerprint
+        era = self._version.era
+        if not era:
+            return self._fingerprint
+        base = f'{era}|{self._eras.base_of(era)}'
+        return self._fingerprint ^ xxhash.xxh64_intdigest(base.encode())
 
     @property
     def records(self) -> Iterator[Record]:
@@ -106,9 +114,16 @@
         if not changes.complete and changes.after > self._version:
             return None
         contested: tuple[str, ...] = ()
+        restored = changes.version.era > self._version.era
         if changes.complete and changes.version.era == self._version.era:
             contested = contested_subjects(changes, self)
         self._enter_era(changes.version)
+        if changes.complete and restored:
+            self._learn_base(backup_listing(changes), self._records.values())
+        elif changes.complete and changes.version.era < self._version.era:
+            self._eras.learn(changes.marks)
+            own = self.changes_since(ORIGIN)
+            self._learn_base(backup_listing(own), changes.records)
         return self._apply(changes) + self._forget_all(contested)
 
     def merge_read(self, changes: Changes) -> tuple[Record, ...] | None:
@@ -123,14 +138,14 @@
         restored = era > self._version.era
         self._enter_era(changes.version)
         if restored and changes.complete:
-            base = revision_before_writes(
-                changes, self._records.values(), self._eras
-            )
-            self._eras.learn((EraMark(era, base, 0),))
+            self._learn_base(changes, self._records.values())
         dated = [self._date(record, era) for record in changes.records]
         if changes.complete:
             self._read_base = self._eras.base_of(era)
             named = {record.subject for record in dated}
+            self._absent = dict.fromkeys(
+                self._records.keys() - named, changes.version.revision
+            )
             for subject in self._sequences.keys() - named:
                 self._sequences.pop(subject)
         return self._apply(replace(changes, records=tuple(dated)))
@@ -206,9 +221,15 @@
             if not isinstance(record.document, Configuration | None)
         }
         self._sequences.clear()
+        self._absent.clear()
         self._read_base = 0
         self._version = StateVersion(version.era, 0)
 
+    def _learn_base(self, listing: Changes, known: Iterable[Record]) -> None:
+        """Limit the base of an era by what was known before its restore."""
+        base = revision_before_writes(listing, known, self._eras)
+        self._eras.learn((EraMark(listing.version.era, base, 0),))
+
     def _date(self, record: Record, era: int) -> Record:
         """Date a record of the store to the era in which it was written."""
         version = self._eras.date(record.version.revision, era)
@@ -223,9 +244,9 @@
         return replace(record, version=version)
 
     def _is_drained_again(self, record: Record) -> bool:
-        """Return whether a record differs from the one that was deleted."""
+        """Return whether a record is not of the order that was deleted."""
         deleted = self._deleted.get(record.subject)
-        return deleted not in {None, record.version.revision}
+        return deleted is not None and not is_same_order(deleted, record)
 
     def _is_withheld(self, subject: str) -> bool:
         """Return whether an upstream was seen gone before the restore."""
@@ -245,7 +266,7 @@
     def _join(self, record: Record, changes: Changes) -> Record | None:
         """Merge a record; return the record in force if it changed."""
         known = self._records.get(record.subject)
-        if known is None:
+        if known is None or self._is_deleted_write(record):
             joined = self._resolve_unknown(record)
         else:
             joined = resolve(known, record)
@@ -257,6 +278,16 @@
             self._update_kept(record.subject, changes, was_absent=was_absent)
         return None if joined is known else joined
 
+    def _is_deleted_write(self, record: Record) -> bool:
+        """Return whether the store lacked a document after a write of the era.
+
+        Then the document has been deleted, even if its deletion was not seen.
+        """
+        if record.version.era != self._version.era:
+            return False
+        absent_at = self._absent.get(record.subject, -1)
+        return record.version.revision <= absent_at
+
     def _resolve_unknown(self, record: Record) -> Record:
         # Whether it was deleted before the restore may be uncertain. A data
         # centre then stays drained; an upstream is used once it writes again.
@@ -315,7 +346,7 @@
         if record.document is None:
             self._kept.discard(record.subject)
             if replaced and isinstance(replaced.document, TakenOut):
-                self._deleted[record.subject] = replaced.version.revision
+                self._deleted[record.subject] = replaced
 
     def _drop_old_tombstones(self) -> None:
         tombstones = [
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -64,7 +64,8 @@
 ) -> Record | None:
     if key.startswith(EVACUATION_PREFIX):
         zone = key.removeprefix(EVACUATION_PREFIX)
-        return Record(key, version, TakenOut(zone))
+        created = _require_natural(int(stored_item.get('created', 0)))
+        return Record(key, version, TakenOut(zone, created))
     document: Document
     if key == CONFIGURATION_KEY:
         document = _decode_configuration(_decode_fields(stored_item))
