Date writes of a restored store by what peers saw of them

Change: a record that was published after another one but is dated to an earlier era is dated to the later one, and the base is lowered.

--- a/src/ragwortpost/datapath/process/tests/test_store_eras.py
+++ b/src/ragwortpost/datapath/process/tests/test_store_eras.py
@@ -321,6 +321,54 @@
         ('read', 2),
         ('stop_upstream', 1),
     ),
+    # A new write has the revision at which the first reader last knew the store.
+    (
+        ('publish',),
+        ('stop_upstream', 1),
+        ('read', 0),
+        ('restore', 0),
+        ('publish',),
+        ('start_upstream', 1),
+        ('publish',),
+        ('read', 0),
+        ('drain_upstream', 1),
+        ('read', 1),
+        ('stop_upstream', 1),
+    ),
+    # A reader dates a start back that followed a write which only its peer saw.
+    (
+        ('start_upstream', 3),
+        ('read', 0),
+        ('restore', 0),
+        ('read', 1),
+        ('write_upstream_again', 3),
+        ('read', 1),
+        ('stop_upstream', 3),
+        ('start_upstream', 3),
+    ),
+    # A data centre was drained again and returned before a replica first read the
+    # restored store.
+    (
+        ('drain_or_return', 'south'),
+        ('read', 0),
+        ('read', 1),
+        ('restore', 0),
+        ('write_lost_data',),
+        ('read', 1),
+        ('drain_or_return', 'south'),
+    ),
+    # The first reader after two restores knows nothing of the first one.
+    (
+        ('publish',),
+        ('read', 0),
+        ('restore', 0),
+        ('gossip', 1, 0),
+        ('drain_upstream', 1),
+        ('read', 1),
+        ('restore', 0),
+        ('stop_upstream', 1),
+        ('start_upstream', 1),
+    ),
     # The only reader of the restored store knows nothing of before, and its peer
     # deleted a document at a revision that is another write now.
     (
--- a/src/ragwortpost/datapath/version/_restore_evidence.py
+++ b/src/ragwortpost/datapath/version/_restore_evidence.py
@@ -90,6 +90,16 @@
     return known.version.revision == listed.version.revision
 
 
+def is_later_state(before: Document | None, after: Document | None) -> bool:
+    """Return whether an upstream published one state after another."""
+    match before, after:
+        case UpstreamEntry(born=born), UpstreamEntry(born=later_born) if (
+            born < later_born
+        ):
+            return True
+    return began_leaving(before, after)
+
+
 def contested_subjects(changes: Changes, view: KnownState) -> tuple[str, ...]:
     """Return documents that one state lists and the other has only kept.
 
@@ -122,23 +132,14 @@
 ) -> bool:
     """Return whether the view would know a write if it were an earlier one."""
     known = known_records.get(record.subject)
-    if known is None:
-        return False
     revision = record.version.revision
+    if known is None:
+        # An earlier one may have been deleted up to the known revision.
+        return revision == reached
     if revision < known.version.revision:
-        return _is_later_state(known.document, record.document)
+        return is_later_state(known.document, record.document)
     latest = StateVersion(known.version.era + 1, revision)
     if resolve(known, Record(record.subject, latest, record.document)) is known:
         # A lower configuration: the known record is not the latest one.
         return False
     return known.version.revision < revision <= reached
-
-
-def _is_later_state(before: Document | None, after: Document | None) -> bool:
-    """Return whether an upstream published one state after another."""
-    match before, after:
-        case UpstreamEntry(born=born), UpstreamEntry(born=later_born) if (
-            born < later_born
-        ):
-            return True
-    return began_leaving(before, after)
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -22,6 +22,7 @@
 from ragwortpost.datapath.version._restore_evidence import (
     backup_listing,
     contested_subjects,
+    is_later_state,
     is_same_order,
     revision_before_writes,
 )
@@ -124,6 +125,9 @@
             self._eras.learn(changes.marks)
             own = self.changes_since(ORIGIN)
             self._learn_base(backup_listing(own), changes.records)
+        if changes.complete:
+            redated = tuple(map(self._redate, changes.records))
+            changes = replace(changes, records=redated)
         return self._apply(changes) + self._forget_all(contested)
 
     def merge_read(self, changes: Changes) -> tuple[Record, ...] | None:
@@ -187,7 +191,8 @@
             for subject in subjects
             if self._records[subject].version < forgotten_at
         )
-        self._put_all(deletions)
+        for deletion in deletions:
+            self._put(deletion)
         return deletions
 
     def _apply(self, changes: Changes) -> tuple[Record, ...]:
@@ -199,7 +204,8 @@
         ]
         if changes.complete:
             deletions = tuple(self._implied_deletions(changes))
-            self._put_all(deletions)
+            for deletion in deletions:
+                self._put(deletion)
             changed.extend(deletions)
             self._eras.learn(changes.marks)
             if changes.version > self._version:
@@ -230,6 +236,29 @@
         base = revision_before_writes(listing, known, self._eras)
         self._eras.learn((EraMark(listing.version.era, base, 0),))
 
+    def _redate(self, received: Record) -> Record:
+        """Return a record, dated to this era if it was dated too early.
+
+        A reader that knows nothing of before a restore dates writes of the new
+        era back; a peer that saw an earlier one of them can tell.
+        """
+        known = self._records.get(received.subject, received)
+        early, late = sorted((received, known), key=lambda one: one.version)
+        era, revision = late.version.era, early.version.revision
+        if early.version.era == era or not is_later_state(
+            late.document, early.document
+        ):
+            return received
+        if revision < late.version.revision:
+            # Written after one more restore.
+            era = self._version.era
+        self._eras.learn((EraMark(era, revision - 1, 0),))
+        redated = replace(early, version=StateVersion(era, revision))
+        if early is received:
+            return redated
+        self._put(redated)
+        return received
+
     def _date(self, record: Record, era: int) -> Record:
         """Date a record of the store to the era in which it was written."""
         version = self._eras.date(record.version.revision, era)
@@ -266,7 +295,11 @@
     def _join(self, record: Record, changes: Changes) -> Record | None:
         """Merge a record; return the record in force if it changed."""
         known = self._records.get(record.subject)
-        if known is None or self._is_deleted_write(record):
+        if self._is_deleted_write(record):
+            absent_at = self._absent[record.subject]
+            deleted_at = StateVersion(self._version.era, absent_at)
+            joined = Record(record.subject, deleted_at, None)
+        elif known is None:
             joined = self._resolve_unknown(record)
         else:
             joined = resolve(known, record)
@@ -285,6 +318,8 @@
         """
         if record.version.era != self._version.era:
             return False
+        if isinstance(record.document, Configuration | None):
+            return False
         absent_at = self._absent.get(record.subject, -1)
         return record.version.revision <= absent_at
 
@@ -334,10 +369,6 @@
             and record.subject not in self._kept
         )
 
-    def _put_all(self, records: Iterable[Record]) -> None:
-        for record in records:
-            self._put(record)
-
     def _put(self, record: Record) -> None:
         # Keep the records in the order in which they were applied.
         replaced = self._records.pop(record.subject, None)
