Import at a start only what the role needs to serve

Cause: after a loss of power nobody serves until the processes have started; the slowest agent also decides lookups of old flows. By module: the other role, the log output and the admin endpoints are a quarter, data classes another quarter.

Tests: the whole suite passed.

--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -35,9 +35,10 @@
     opening_packet,
 )
 from ragwortpost.datapath.process._codec import decode, encode
+from ragwortpost.datapath.process._deferred_log import LOGGER_NAME
 from ragwortpost.datapath.process._entry import Entry
 from ragwortpost.datapath.process._event_log import EventLog
-from ragwortpost.datapath.process._log_output import LOGGER_NAME, open_log
+from ragwortpost.datapath.process._log_output import open_log
 from ragwortpost.datapath.process._messages import (
     Digest,
     ForwardOutcome,
--- a/src/ragwortpost/_datagrams.py
+++ b/src/ragwortpost/_datagrams.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
+from dataclasses import dataclass
 from typing import Final, Protocol, TypeAlias
 
 # The most datagrams read per wake-up of the event loop.
@@ -45,6 +46,16 @@
         """
 
 
+@dataclass(frozen=True)
+class PausedSocket:
+    """A bound socket whose datagrams wait in its buffer until it is read."""
+
+    # Sends from its address.
+    send: SendDatagram
+    # Starts reading; further calls have no effect.
+    resume: Callable[[], None]
+
+
 class UdpSockets:
     """UDP over IPv4."""
 
@@ -55,6 +66,20 @@
         receive: ReceiveDatagram,
     ) -> SendDatagram:
         """Bind a socket to an address and read it until ``stack`` closes."""
+        paused = self.open_paused(stack, address, receive)
+        paused.resume()
+        return paused.send
+
+    def open_paused(
+        self,
+        stack: ExitStack,
+        address: HostPort,
+        receive: ReceiveDatagram,
+    ) -> PausedSocket:
+        """Bind a socket to an address, which is read once it is resumed.
+
+        Raises :class:`OSError` if the address can't be bound.
+        """
         udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         stack.callback(udp_socket.close)
         udp_socket.setblocking(False)
@@ -66,7 +91,6 @@
         )
         udp_socket.bind(address)
         loop = asyncio.get_running_loop()
-        loop.add_reader(udp_socket, _read_batch, udp_socket, receive)
         stack.callback(loop.remove_reader, udp_socket)
 
         def send(datagram: bytes, receiver: HostPort) -> bool:  # noqa: WPS430
@@ -76,7 +100,11 @@
                 return False
             return True
 
-        return send
+        def resume() -> None:  # noqa: WPS430
+            if udp_socket.fileno() >= 0:
+                loop.add_reader(udp_socket, _read_batch, udp_socket, receive)
+
+        return PausedSocket(send, resume)
 
 
 def _read_batch(
--- a/src/ragwortpost/cli/_platform_command.py
+++ b/src/ragwortpost/cli/_platform_command.py
@@ -4,7 +4,6 @@
 import os
 import sys
 from contextlib import ExitStack
-from pathlib import Path
 
 from result import Err, Ok
 
@@ -22,7 +21,7 @@
 
 def run_on_platform() -> int:
     """Run the process that the platform's settings file describes."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    path = os.environ.get(SETTINGS_VARIABLE, '')
     source = SettingsFile(path)
     match source.load():
         case Err(UnreadableSettingsError() as problem):
--- a/src/ragwortpost/datapath/process/_log_output.py
+++ b/src/ragwortpost/datapath/process/_log_output.py
@@ -16,15 +16,17 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from ragwortpost.datapath.process._deferred_log import (
+    DROPPED_EVENT,
+    LOGGER_NAME,
+)
+
 # Capacity of the queue: a few seconds of a busy process's lines.
 MAX_QUEUED_LINES: Final = 2000
-# Logger that all modules of the data path write to.
-LOGGER_NAME: Final = 'ragwortpost'
 # At exit the process polls until all lines are written, but for no more than a
 # fifth of a second: a blocked output must not delay it.
 FLUSH_POLL_SECONDS: Final = 0.005
 FLUSH_POLLS: Final = 40
-DROPPED_EVENT: Final = 'log line dropped'
 
 
 class _DroppingQueueHandler(QueueHandler):
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -11,35 +11,18 @@
 
 from ragwortpost._clock import Clock, SystemClock
 from ragwortpost._datagrams import HostPort, SendDatagram, UdpSockets
-from ragwortpost.datapath.connection import FlowKey, PacketFormat
-from ragwortpost.datapath.process._admin import Admin, AdminSources
-from ragwortpost.datapath.process._agent import Agent
+from ragwortpost.datapath.connection import PacketFormat
 from ragwortpost.datapath.process._codec import decode
-from ragwortpost.datapath.process._entry import Entry
+from ragwortpost.datapath.process._deferred_log import DeferredLog
 from ragwortpost.datapath.process._http_server import HttpReply, serve_http
-from ragwortpost.datapath.process._log_output import open_log
-from ragwortpost.datapath.process._messages import (
-    Digest,
-    FlowQuery,
-    FlowQueryReply,
-    Forward,
-    ForwardReply,
-    Inventory,
-    InventoryQuery,
-    Message,
-    Registration,
-    RoomDemand,
-    RoomGrant,
-)
+from ragwortpost.datapath.process._messages import Digest
 from ragwortpost.datapath.process._node_context import make_context
-from ragwortpost.datapath.process._node_settings import (
-    NodeRole,
-    NodeSettings,
-)
+from ragwortpost.datapath.process._node_settings import NodeSettings
 from ragwortpost.datapath.process._paced_sender import (
     PacedSender,
     PacedSenderPorts,
 )
+from ragwortpost.datapath.process._role import make_role
 from ragwortpost.datapath.process._settings_reloader import (
     SettingsReloader,
     SettingsSource,
@@ -52,23 +35,14 @@
 # Interval of ticks while flows wait for agents, and while none does.
 TICK_SECONDS: Final = 0.02
 IDLE_TICK_SECONDS: Final = 0.1
-# Minimum and maximum time for which a stopping entry still forwards after its
-# readiness probe has begun to fail. Routers stop sending to it after two failed
-# probes, half a second apart, or later while too few other entries are ready.
-ENTRY_DRAIN_SECONDS: Final = 0.6
-MAX_ENTRY_DRAIN_SECONDS: Final = 2.0
-# Time without callers' packets that shows that the routers send elsewhere.
-ENTRY_QUIET_SECONDS: Final = 0.15
-# Interval of the checks whether a stopping process is drained. An agent waits
-# for its load to reach zero for at most AGENT_DRAIN_POLLS intervals, a second
-# in total.
-DRAIN_POLL_SECONDS: Final = 0.05
 # Share of the time between the stop signal and the kill that a process spends
 # on draining; the rest is left for its last log lines.
 DRAIN_SHARE: Final = 0.8
 # Maximum age in the metrics; that of a view never confirmed is infinite.
 _MAX_SHOWN_AGE_SECONDS: Final = 3600.0
-AGENT_DRAIN_POLLS: Final = 20
+# Time after the start at which the modules that write log lines are imported.
+# Callers return within the first seconds after a mass restart.
+LOG_DELAY_SECONDS: Final = 4.0
 
 
 class ReadinessCallback(Protocol):
@@ -111,17 +85,13 @@
         self._log = context.log
         self._state = context.state
         self._gossip = ViewGossip(context)
-        side = settings.upstream_side
-        self._role = NodeRole.AGENT if side else NodeRole.ENTRY
         self._store_reader = StoreReader(context, ports.store, self._gossip)
         self._reloader = SettingsReloader(context, ports.settings)
-        self._agent: Agent | None = None
-        self._entry: Entry | None = None
+        self._role = make_role(
+            context, ports.packets, self._gossip.local_status
+        )
+        self._deferred_log = DeferredLog(sys.stdout, context.metrics.events)
         self._peer_sender: PacedSender | None = None
-        if side is None:
-            self._entry = Entry(context, ports.packets)
-        else:
-            self._agent = Agent(context, side, ports.packets)
 
     @property
     def is_ready(self) -> bool:
@@ -139,7 +109,7 @@
         sockets = stack.enter_context(ExitStack())
         udp = UdpSockets()
         to_peer = self._open_peer_socket(sockets, udp)
-        self._open_role(sockets, udp, to_peer)
+        self._role.open(sockets, udp, to_peer)
         await self._gossip.open(stack, to_peer)
         answer = self._ports.answer_readiness
         await serve_http(
@@ -148,12 +118,7 @@
             lambda target: answer(target, ready=self.is_ready),
         )
         await serve_http(
-            stack,
-            (settings.host, settings.admin_port),
-            Admin(
-                self._context,
-                AdminSources(self._gauges, self._explain_flow),
-            ).answer,
+            stack, (settings.host, settings.admin_port), self._answer_operator
         )
         for job in (
             self._gossip.run,
@@ -164,11 +129,20 @@
         ):
             task = asyncio.create_task(self._run_forever(job))
             stack.callback(task.cancel)
-        self._log.write('started', name=settings.name, role=self._role.value)
+        self._log.write(
+            'started', name=settings.name, role=self._role.name.value
+        )
 
     def open_log(self, stack: ExitStack) -> None:
-        """Write log lines to standard output until ``stack`` closes."""
-        open_log(stack, sys.stdout, self._context.metrics.events)
+        """Write log lines to standard output until ``stack`` closes.
+
+        The first lines are kept until the process has served for a while.
+        """
+        self._deferred_log.open(stack)
+        timer = asyncio.get_running_loop().call_later(
+            LOG_DELAY_SECONDS, self._deferred_log.start_writing
+        )
+        stack.callback(timer.cancel)
 
     def reload(self) -> None:
         """Request a reload of the settings."""
@@ -195,35 +169,22 @@
             async with asyncio.timeout(
                 self._settings.stop_seconds * DRAIN_SHARE
             ):
-                await self._drain_role()
+                await self._role.drain()
         except TimeoutError:
             self._log.write('drain_cut', seconds=self._settings.stop_seconds)
 
-    async def _drain_role(self) -> None:
-        if self._entry is not None:
-            await self._drain_entry(self._entry)
-        if self._agent is not None:
-            await self._drain_agent(self._agent)
-
-    async def _drain_entry(self, entry: Entry) -> None:
-        await asyncio.sleep(ENTRY_DRAIN_SECONDS)
-        remaining = MAX_ENTRY_DRAIN_SECONDS - ENTRY_DRAIN_SECONDS
-        while (
-            remaining > 0 and entry.seconds_since_packet < ENTRY_QUIET_SECONDS
-        ):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-            remaining -= DRAIN_POLL_SECONDS
+    def _answer_operator(self, target: str) -> HttpReply:
+        """Answer a request to the admin endpoints.
 
-    async def _drain_agent(self, agent: Agent) -> None:
-        for _ in range(AGENT_DRAIN_POLLS):
-            if not agent.load:
-                return
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        They are imported for the first one, as no start needs them.
+        """
+        from ragwortpost.datapath.process._admin import (  # noqa: WPS433
+            Admin,
+            AdminSources,
+        )
 
-    def _explain_flow(self, flow: FlowKey) -> Mapping[str, object]:
-        if self._entry is not None:
-            return self._entry.explain_flow(flow)
-        return self._agent.explain_flow(flow) if self._agent else {}
+        sources = AdminSources(self._gauges, self._role.explain_flow)
+        return Admin(self._context, sources).answer(target)
 
     def _gauges(self) -> Mapping[str, float]:
         gauges = {
@@ -237,10 +198,7 @@
         }
         if self._peer_sender is not None:
             gauges['gossip_waiting'] = float(self._peer_sender.waiting)
-        for role in (self._entry, self._agent):
-            if role is not None:
-                gauges.update(role.gauges())
-        return gauges
+        return {**gauges, **self._role.gauges()}
 
     def _open_peer_socket(
         self, sockets: ExitStack, udp: UdpSockets
@@ -258,58 +216,19 @@
         )
         return self._peer_sender.send
 
-    def _open_role(
-        self,
-        sockets: ExitStack,
-        udp: UdpSockets,
-        to_peer: SendDatagram,
-    ) -> None:
-        settings = self._settings
-        side = settings.upstream_side
-        meter = self._context.metrics.messages
-        if self._entry is not None:
-            address = (settings.host, settings.packet_port)
-            receive = meter.packet_receiver(self._entry.receive_packet)
-            to_caller = udp.open(sockets, address, receive)
-            self._entry.open(meter.packet_sender(to_caller), to_peer)
-        if self._agent is not None and side is not None:
-            outbound = udp.open(
-                sockets,
-                side.outbound,
-                meter.packet_receiver(self._agent.receive_outbound),
-            )
-            local_status = self._gossip.local_status
-            agent = self._agent
-            local_status.load = lambda: agent.load
-            local_status.pace_ms = lambda: agent.pace_ms
-            outbound = meter.packet_sender(outbound)
-            agent.open(outbound, to_peer, lambda: local_status.leaving)
-
     def _dispatch_datagram(self, datagram: bytes, sender: HostPort) -> None:
         host = sender[0]
         message = decode(datagram)
         match message:
             case Digest() | Changes() as gossip_message:
                 self._gossip.receive(gossip_message, host)
-                return
-            case _ if self._entry is not None:
-                handled = _receive_at_entry(self._entry, message, host)
-            case _ if self._agent is not None:
-                handled = _receive_at_agent(self._agent, message, host)
             case _:
-                handled = False
-        if not handled:
-            self._log.write('datagram_unreadable', peer=host)
-
-    def _has_pending(self) -> bool:
-        """Return whether flows or entries wait, which needs short ticks."""
-        if self._entry is not None:
-            return self._entry.has_pending
-        return self._agent is not None and self._agent.room.has_demands
+                if not self._role.receive(message, host):
+                    self._log.write('datagram_unreadable', peer=host)
 
     async def _run_ticks(self) -> None:
         while True:
-            has_pending = self._has_pending()
+            has_pending = self._role.has_pending
             interval = TICK_SECONDS if has_pending else IDLE_TICK_SECONDS
             started = self._clock.monotonic()
             await asyncio.sleep(interval)
@@ -319,10 +238,7 @@
 
     def _tick(self) -> None:
         self._state.expire()
-        if self._entry is not None:
-            self._entry.tick()
-        if self._agent is not None:
-            self._agent.tick()
+        self._role.tick()
 
     async def _run_forever(self, job: Callable[[], Awaitable[None]]) -> None:
         while True:
@@ -333,36 +249,6 @@
             await asyncio.sleep(1)
 
 
-def _receive_at_entry(entry: Entry, message: Message | None, host: str) -> bool:
-    """Let an entry handle a message; return false if it is not for one."""
-    match message:
-        case FlowQueryReply() | Inventory():
-            entry.receive_query_reply(message, host)
-        case ForwardReply():
-            entry.receive_forward_reply(message, host)
-        case RoomGrant():
-            entry.receive_grant(message, host)
-        case _:
-            return False
-    return True
-
-
-def _receive_at_agent(agent: Agent, message: Message | None, host: str) -> bool:
-    """Let an agent handle a message; return false if it is not for one."""
-    match message:
-        case Forward():
-            agent.receive_forward(message, host)
-        case Registration():
-            agent.receive_registration(message, host)
-        case FlowQuery() | InventoryQuery():
-            agent.receive_query(message, host)
-        case RoomDemand():
-            agent.room.receive_demand(message, host)
-        case _:
-            return False
-    return True
-
-
 async def run_node(settings: NodeSettings, ports: PlatformPorts) -> None:
     """Run an entry or an agent until SIGTERM or SIGINT.
 
--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -36,6 +36,10 @@
 # Mean interval of gossip rounds. In each, an entry sends digests to all agents
 # of its own data centre, and an agent sends one to a random entry.
 GOSSIP_INTERVAL_SECONDS: Final = 0.4
+# Mean interval while the process has no view. It can neither forward packets
+# nor answer lookups then, and after a mass restart its first digests reach
+# processes that have no view either.
+FIRST_VIEW_INTERVAL_SECONDS: Final = 0.1
 # Number of agents of other data centres, and number of entries, to which an
 # entry sends digests in each round.
 SAMPLE_SIZE: Final = 2
@@ -105,9 +109,10 @@
         self.send_digest(entries, wants_reply=True)
         while True:
             self.send_digest(self._next_targets(), wants_reply=True)
-            await asyncio.sleep(
-                GOSSIP_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
-            )
+            interval = GOSSIP_INTERVAL_SECONDS
+            if not self._state.revision:
+                interval = FIRST_VIEW_INTERVAL_SECONDS
+            await asyncio.sleep(interval * self._rng.uniform(0.8, 1.2))
             self._directory.expire(self._clock.monotonic())
             self._reconciliation.forget_peers(set(self._directory.peers))
 
--- a/src/ragwortpost/platform/_settings_file.py
+++ b/src/ragwortpost/platform/_settings_file.py
@@ -1,9 +1,9 @@
 """Parses the settings file that the platform writes for each process."""
 
 import json
+import os
 import sys
 from collections.abc import Mapping
-from pathlib import Path
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -50,9 +50,12 @@
 
 
 class SettingsFile:
-    """The settings file of this process."""
+    """The settings file of this process.
 
-    def __init__(self, path: Path) -> None:
+    It does not use ``pathlib``, whose import lengthens each start.
+    """
+
+    def __init__(self, path: str) -> None:
         """Initialize with the path of the file."""
         self._path = path
 
@@ -61,12 +64,13 @@
 
         Raises :class:`OSError` if the file can't be read.
         """
-        return self._path.stat().st_mtime
+        return os.stat(self._path).st_mtime
 
     def load(self) -> Result[NodeSettings, NodeSettingsError]:
         """Read and parse the current settings."""
         try:
-            return parse_settings(self._path.read_bytes())
+            with open(self._path, 'rb') as settings_file:
+                return parse_settings(settings_file.read())
         except OSError as error:
             return Err(UnreadableSettingsError(str(error)))
 
