Let an agent check whether an upstream runs beside it

Cause: after a loss of power, lookups of old flows wait until every agent has denied them.

Ruled out: deciding by a fresh view that lists no upstream. An upstream that lives may lack there shortly after the store was away.

Change: after its first view, an agent that can't exclude flows from before its start connects to its upstream once. If the connection is refused, nothing listens there, and no such flow exists.

--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -102,6 +102,11 @@
         self._started_at = context.clock.now()
         context.state.subscribe(self._check_upstream_start)
 
+    @property
+    def may_hold_unknown(self) -> bool:
+        """Whether the upstream may hold flows from before this agent."""
+        return not self._held_flows.is_complete
+
     @property
     def load(self) -> int:
         """Requests that await a response, and first requests expected soon."""
@@ -140,6 +145,11 @@
         self._send_to_peer = to_peer
         self.room.open(to_peer, is_stopping)
 
+    def record_absent_upstream(self) -> None:
+        """Record that no upstream runs: there are no flows from before."""
+        self._held_flows.mark_complete()
+        self._query_responder.decide()
+
     def receive_forward(self, forward: Forward, entry: str) -> None:
         """Handle a packet that an entry forwards or another agent relays."""
         packet = self._packets.from_caller(forward.raw)
@@ -202,15 +212,12 @@
         self._query_responder.answer_due()
         self._registrations.tick(now)
         if self._is_upstream_gone():
-            self._deny_unconfirmed()
+            for flow, entries in self._unconfirmed.pop_all().items():
+                for entry in entries:
+                    self._reply(ForwardOutcome.NOT_HELD, flow, entry)
         self._unconfirmed.expire(now)
         self.room.grant()
 
-    def _deny_unconfirmed(self) -> None:
-        for flow, entries in self._unconfirmed.pop_all().items():
-            for entry in entries:
-                self._reply(ForwardOutcome.NOT_HELD, flow, entry)
-
     def _may_hold(self, service: ServiceTag) -> bool:
         """Return whether the upstream may hold unknown flows of a service."""
         return service == self._service_tag and not self._is_upstream_gone()
--- a/src/ragwortpost/datapath/process/_agent_role.py
+++ b/src/ragwortpost/datapath/process/_agent_role.py
@@ -20,6 +20,8 @@
 from ragwortpost.datapath.process._node_settings import NodeRole, UpstreamSide
 from ragwortpost.datapath.process._view_gossip import LocalStatus
 
+# Timeout of the check whether an upstream runs; it is on the agent's own VM.
+PROBE_TIMEOUT_SECONDS: Final = 0.2
 # A stopping agent waits for its load to reach zero for at most this number of
 # intervals, a second in total.
 DRAIN_POLLS: Final = 20
@@ -40,9 +42,12 @@
     ) -> None:
         """Initialize with the upstream and the status that peers get."""
         self._meter = context.metrics.messages
-        self._outbound = side.outbound
+        self._log = context.log
+        self._state = context.state
+        self._side = side
         self._status = status
         self._agent = Agent(context, side, packets)
+        self._probe: asyncio.Task[None] | None = None
 
     @property
     def has_pending(self) -> bool:
@@ -55,7 +60,7 @@
         """Open the socket to which the upstream sends its packets."""
         agent, status = self._agent, self._status
         receive = self._meter.packet_receiver(agent.receive_outbound)
-        outbound = udp.open(stack, self._outbound, receive)
+        outbound = udp.open(stack, self._side.outbound, receive)
         status.load = lambda: agent.load
         status.pace_ms = lambda: agent.pace_ms
         agent.open(
@@ -63,6 +68,8 @@
             to_peer,
             lambda: status.leaving,
         )
+        self._state.subscribe(self._start_probe)
+        stack.callback(self._cancel_probe)
 
     def receive(self, message: Message | None, host: str) -> bool:
         """Handle an entry's or another agent's message."""
@@ -97,3 +104,32 @@
             if not self._agent.load:
                 return
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _start_probe(self) -> None:
+        """Check once, after the first view, whether an upstream runs.
+
+        The view may list an upstream that was lost together with the previous
+        agent, or none. Without the check, lookups would wait for the agent
+        until it has found out by packets that are not answered.
+        """
+        has_view = self._state.fleet.configuration is not None
+        if self._probe is None and has_view and self._agent.may_hold_unknown:
+            loop = asyncio.get_running_loop()
+            self._probe = loop.create_task(self._probe_upstream())
+
+    async def _probe_upstream(self) -> None:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(*self._side.upstream)
+        except ConnectionRefusedError:
+            # Nothing listens there, so that no upstream holds any flow.
+            self._agent.record_absent_upstream()
+            self._log.write('no_upstream', service=self._side.service)
+        except OSError as error:
+            self._log.write('upstream_probe_failed', why=repr(error))
+        else:
+            writer.close()
+
+    def _cancel_probe(self) -> None:
+        if self._probe is not None:
+            self._probe.cancel()
