Wait for handed-off requests before a stopping agent moves connections

A request that a peer runs for it and that takes 3 s was cut off, and its connection closed.

Ruled out: counting handed-off requests before the first transfer. Callers send new ones all the time, so that the count need not reach zero.

Change: the wait for a quiet connection ends with the drain limit of the service, 2 s later at most for connections whose transfer begins after it.

--- a/src/ragwortpost/process/_agent.py
+++ b/src/ragwortpost/process/_agent.py
@@ -185,11 +185,13 @@
     async def drain(self) -> None:
         """Stop accepting work, then transfer or close all connections.
 
-        Running requests get up to the drain limit to finish before that.
+        Running requests, here and at the peers that they were handed off to,
+        get up to the drain limit to finish before that.
         """
         self._stopping = True
         self._leave()
         limit = self._slots.policy.drain.total_seconds()
+        deadline = self._node.clock.monotonic() + limit
         try:
             async with asyncio.timeout(limit):
                 while self._running_count():
@@ -198,7 +200,7 @@
             logging.warning(
                 'event=drain_timeout running=%d', self._running_count()
             )
-        await self._transfers.transfer_all(self._relay_buffered)
+        await self._transfers.transfer_all(self._relay_buffered, deadline)
         await self._connections.close('leaving')
 
     def send(
--- a/src/ragwortpost/process/_connection_transfers.py
+++ b/src/ragwortpost/process/_connection_transfers.py
@@ -14,7 +14,8 @@
 from ragwortpost.version import Fleet, ShortId, Upstream, ranked_upstreams
 from ragwortpost.wire.peer_pb2 import MovedFlow
 
-# Longest wait for a connection's running requests and incomplete frames.
+# Least time that a connection gets to finish its requests and frames, however
+# late its transfer begins.
 QUIESCE_SECONDS: Final = 2.0
 # How long late datagrams are relayed after the transfers.
 LINGER_SECONDS: Final = 2.0
@@ -91,15 +92,18 @@
         return self._successors.get(connection_id)
 
     async def transfer_all(
-        self, relay: Callable[[CallerConnection, Upstream], None]
+        self,
+        relay: Callable[[CallerConnection, Upstream], None],
+        deadline: float,
     ) -> None:
         """Transfer all connections, then wait while late packets are relayed.
 
-        ``relay`` sends the datagrams that arrived during a transfer to the
-        successor.
+        Requests that peers run for a connection have until ``deadline``, in
+        seconds of the monotonic clock, to finish. ``relay`` sends the datagrams
+        that arrived during a transfer to the successor.
         """
         transfers = [
-            self._transfer(connection, relay)
+            self._transfer(connection, relay, deadline)
             for connection in self._connections.connections
         ]
         await asyncio.gather(*transfers)
@@ -115,9 +119,10 @@
         self,
         connection: CallerConnection,
         relay: Callable[[CallerConnection, Upstream], None],
+        deadline: float,
     ) -> None:
         async with self._limit:
-            successor = await self._find_successor(connection)
+            successor = await self._find_successor(connection, deadline)
             if successor is None:
                 self._counters.closed += 1
                 connection.cancel_transfer()
@@ -129,11 +134,11 @@
             self._counters.moved += 1
 
     async def _find_successor(
-        self, connection: CallerConnection
+        self, connection: CallerConnection, deadline: float
     ) -> Upstream | None:
         """Return the upstream whose agent continues a connection, if any."""
         state = await connection.export_state(
-            self._clock.monotonic() + QUIESCE_SECONDS
+            max(deadline, self._clock.monotonic() + QUIESCE_SECONDS)
         )
         if state is None:
             return None
