Date writes that a peer reports at reassigned revisions to the new era

A replica learned of a start after a restore by gossip from a process that knew nothing of before. It knew another write of that revision, so it lowered the base, but took the start for an upstream that had been deleted before the restore.

Change: a write at a revision that was another write before is dated to the era of the state that contains it.

--- a/src/ragwortpost/datapath/process/tests/test_store_eras.py
+++ b/src/ragwortpost/datapath/process/tests/test_store_eras.py
@@ -369,6 +369,16 @@
         ('stop_upstream', 1),
         ('start_upstream', 1),
     ),
+    # A peer learns of a start after the restore by gossip only, at a revision that
+    # was another write before.
+    (
+        ('publish',),
+        ('read', 0),
+        ('restore', 0),
+        ('start_upstream', 3),
+        ('read', 1),
+        ('gossip', 0, 1),
+    ),
     # The only reader of the restored store knows nothing of before, and its peer
     # deleted a document at a revision that is another write now.
     (
--- a/src/ragwortpost/datapath/version/_restore_evidence.py
+++ b/src/ragwortpost/datapath/version/_restore_evidence.py
@@ -76,6 +76,26 @@
     )
 
 
+def redate_reassigned(changes: Changes, records: Iterable[Record]) -> Changes:
+    """Date writes whose revisions were other writes to the era of a state.
+
+    ``records`` are known from an earlier era. A peer that did not know it may
+    have dated new writes back to it.
+    """
+    known = {record.version: record for record in records if record.document}
+    era = changes.version.era
+    redated = tuple(
+        replace(record, version=StateVersion(era, record.version.revision))
+        if record.version.era < era
+        and record.document is not None
+        and record.version in known
+        and are_different_writes(known[record.version], record)
+        else record
+        for record in changes.records
+    )
+    return replace(changes, records=redated)
+
+
 def is_same_order(known: Record, listed: Record) -> bool:
     """Return whether two records are of one order to drain a data centre.
 
--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -24,6 +24,7 @@
     contested_subjects,
     is_later_state,
     is_same_order,
+    redate_reassigned,
     revision_before_writes,
 )
 from ragwortpost.datapath.version._state_version import (
@@ -121,6 +122,7 @@
         self._enter_era(changes.version)
         if changes.complete and restored:
             self._learn_base(backup_listing(changes), self._records.values())
+            changes = redate_reassigned(changes, self._records.values())
         elif changes.complete and changes.version.era < self._version.era:
             self._eras.learn(changes.marks)
             own = self.changes_since(ORIGIN)
