--- a/src/ragwortpost/datapath/process/tests/test_store_eras.py
+++ b/src/ragwortpost/datapath/process/tests/test_store_eras.py
@@ -390,12 +390,38 @@
         ('restore', 0),
     ),
 )
+# Listed in KNOWN-RED.txt.
+FAILING_HISTORIES: Final[tuple[tuple[Step, ...], ...]] = (
+    # An order to drain has the revision of an earlier one after two restores.
+    (
+        ('restore', 0),
+        ('drain_or_return', 'north'),
+        ('read', 3),
+        ('drain_or_return', 'north'),
+        ('copy_store',),
+        ('copy_store',),
+        ('read', 3),
+        ('drain_or_return', 'north'),
+        ('restore', 0),
+    ),
+    # A start is reported by gossip at a revision that an earlier version of the
+    # configuration had, which the replica does not remember.
+    (
+        ('publish',),
+        ('publish',),
+        ('read', 0),
+        ('restore', 0),
+        ('start_upstream', 3),
+        ('read', 1),
+        ('gossip', 0, 1),
+    ),
+)
 
 
 class TestHistories:
-    """Replicas keep what they knew in histories that once failed."""
+    """Replicas keep what they knew in histories that have failed."""
 
-    @pytest.mark.parametrize('history', HISTORIES)
+    @pytest.mark.parametrize('history', HISTORIES + FAILING_HISTORIES)
     def test_nothing_is_undone(self, history: tuple[Step, ...]) -> None:
         machine = RestoredStoreMachine()
         machine.publish_first()
@@ -407,5 +433,5 @@
 
 TestRestoredStore = RestoredStoreMachine.TestCase
 TestRestoredStore.settings = settings(
-    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=400, stateful_step_count=40, deadline=None, derandomize=True
 )
