Collect no garbage until a node serves

The launcher turned the collector on again before the modules of the role were imported. A node turns it on once its sockets are open, and leaves what the start created out of it.

--- a/src/ragwortpost/cli/_launcher.py
+++ b/src/ragwortpost/cli/_launcher.py
@@ -29,7 +29,7 @@
 def _run_node() -> int:
     """Import and run the node."""
     # Few of the objects that imports create are garbage, and the collector
-    # would examine all of them several times.
+    # would examine all of them several times. It runs once the node serves.
     gc.disable()
     # asyncio runs without it, and no connection of a node uses TLS.
     sys.modules.setdefault('ssl', _NO_MODULE)
@@ -37,6 +37,4 @@
         run_on_platform,
     )
 
-    gc.freeze()
-    gc.enable()
     return run_on_platform()
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -1,6 +1,7 @@
 """Runs a process of the packet-level data path until it gets a stop signal."""
 
 import asyncio
+import gc
 import random
 import signal
 import sys
@@ -285,6 +286,9 @@
         node.open_log(stack.enter_context(ExitStack()))
         loop.add_signal_handler(signal.SIGHUP, node.reload)
         await node.open(stack)
+        # What a start creates stays until the process ends.
+        gc.freeze()
+        gc.enable()
         await stop.wait()
         await node.drain()
         node.log_stopped()
