--- a/src/ragwortpost/datapath/version/_view.py
+++ b/src/ragwortpost/datapath/version/_view.py
@@ -125,7 +125,7 @@
             self._learn_base(backup_listing(changes), self._records.values())
             changes = redate_reassigned(changes, self._records.values())
         elif changes.complete and changes.version.era < self._version.era:
-            # The sender may know what this view does not, of before the restore.
+            # The sender may know more of the time before the restore.
             self._eras.learn(changes.marks)
             own = self.changes_since(ORIGIN)
             self._learn_base(backup_listing(own), changes.records)
