Use three frontends in review case 4

Cause: with four, a further process sometimes reads the store because it has not heard of both readers for over a second, and then the case holds. Change: three frontends, three backends of the first service; the check is the same.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,9 +18,9 @@
     zones = ('hall-north', 'hall-south', 'print-annex', 'old-office')
     routes = {443: 'badge-desk', 444: 'layout', DROPPED: 'badge-desk'}
     await rig.start(routes)
-    for zone in zones:
+    for zone in zones[:3]:
         await rig.add_front(zone)
-    for zone in zones:
+    for zone in zones[:3]:
         await rig.add_backend('badge-desk', zone)
     for zone in zones[:2]:
         await rig.add_backend('layout', zone)
