Report for how long a process has lacked a state that it knows of

Cause: nothing told apart a reader that waits on a dead connection, a task that fails on an item again and again, and a state that can't be sent to peers. Change: view_behind (log), view_behind_seconds, known_revision and store_silence_seconds (metrics and status); task_failed names the task, pull_failed the version that was asked from, item_unusable the revision. No decision depends on them.

--- a/src/ragwortpost/datapath/process/_fleet_state.py
+++ b/src/ragwortpost/datapath/process/_fleet_state.py
@@ -6,6 +6,7 @@
 
 from ragwortpost._clock import Clock
 from ragwortpost.datapath.process._event_log import EventLog
+from ragwortpost.datapath.process._view_lag import ViewLag
 from ragwortpost.datapath.version import (
     EMPTY_INDEX,
     Changes,
@@ -53,6 +54,7 @@
         # Time of the first read of the view's era by any process.
         self._era_started_at = _NEVER
         self._listeners: list[Listener] = []
+        self._lag = ViewLag(clock, log)
 
     @property
     def fleet(self) -> FleetIndex:
@@ -89,6 +91,11 @@
         """Seconds since the view was last confirmed as the store's state."""
         return self._clock.monotonic() - self._confirmed_at
 
+    @property
+    def lag(self) -> ViewLag:
+        """The states of the store that the view has not reached."""
+        return self._lag
+
     @property
     def is_fresh(self) -> bool:
         """Whether a missing record proves that the store has none."""
@@ -103,6 +110,10 @@
         """Call ``listener`` after each change of the index."""
         self._listeners.append(listener)
 
+    def record_report(self, version: StateVersion, source: str) -> None:
+        """Record that the store has reached a version, by a peer's report."""
+        self._lag.record_report(version, self.version, source)
+
     def confirm(self, version: StateVersion, age: float) -> None:
         """Record that the store was at a version ``age`` seconds ago.
 
@@ -149,6 +160,7 @@
     def expire(self) -> None:
         """Remove lapsed upstreams and lost records after their grace period."""
         now = self._clock.monotonic()
+        self._lag.log_overdue(self.version)
         forgotten = self._forget_lost(now)
         overdue = [
             ident
@@ -171,6 +183,7 @@
         merged = merge(changes)
         if merged is None:
             return False
+        self._lag.record_progress(self.version)
         now = self._clock.monotonic()
         self._update_era_start(era, changes, now)
         for record in merged:
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -217,7 +217,10 @@
             'view_age_seconds': round(
                 min(self._state.age, _MAX_SHOWN_AGE_SECONDS), 3
             ),
+            'view_behind_seconds': round(self._state.lag.seconds, 3),
+            'known_revision': float(self._state.lag.latest.revision),
             'reading': float(self._gossip.local_status.reading),
+            'store_silence_seconds': round(self._store_reader.silence, 3),
             'peers': float(len(self._context.directory.peers)),
             'processor_seconds': round(time.process_time(), 3),
         }
@@ -272,7 +275,9 @@
             try:
                 await job()
             except Exception as error:
-                self._log.write('task_failed', why=repr(error))
+                self._log.write(
+                    'task_failed', task=job.__qualname__, why=repr(error)
+                )
             await asyncio.sleep(1)
 
 
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -120,6 +120,15 @@
         # Ends the watch in progress when another response shows a new era.
         self._watch_limit = asyncio.Timeout(None)
         self._unusable_era: str | None = None
+        # Monotonic time of the last response to a full read or a watch.
+        self._answered_at = context.clock.monotonic()
+
+    @property
+    def silence(self) -> float:
+        """Seconds since the last response to a read, zero if not reading."""
+        if not self._reading:
+            return 0
+        return self._clock.monotonic() - self._answered_at
 
     async def run(self) -> None:
         """Read the store while too few others do, until cancelled."""
@@ -148,6 +157,7 @@
             return
         if now - self._last_enough_readers_at >= self._takeover_delay(now):
             self._reading = True
+            self._answered_at = now
             self._needs_full_read = True
             self._log.write(
                 'reading', era=self._state.era, revision=self._state.revision
@@ -218,7 +228,9 @@
         ],
         requested_at: StateVersion,
     ) -> None:
-        match await call:
+        outcome = await call
+        self._answered_at = self._clock.monotonic()
+        match outcome:
             case Ok(read):
                 await self._apply_read(read, requested_at)
             case Err(HistoryLost() as lost):
@@ -302,8 +314,9 @@
                 self._needs_full_read = True
                 self._end_watch()
             case EraVerdict.CURRENT | EraVerdict.UNUSABLE:
-                revision = max(1, point.revision)
-                self._state.confirm(StateVersion(era, revision), 0)
+                version = StateVersion(era, max(1, point.revision))
+                self._state.record_report(version, 'store')
+                self._state.confirm(version, 0)
                 self._set_healthy(healthy=True)
 
     def _end_watch(self) -> None:
--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -170,6 +170,7 @@
                 self._receive_digest(message, host)
             case Changes():
                 if not self._state.merge(message, host):
+                    self._state.record_report(message.version, host)
                     self._directory.record_version(host, message.version)
                     self._start_pull(self._pull_missing(host))
 
@@ -196,6 +197,7 @@
             self.send_digest(new_entries, wants_reply=False)
         self._directory.record_digest(host, digest, now)
         self._layouts.record_digest(host, digest, now)
+        self._state.record_report(digest.version, host)
         self._state.confirm(digest.version, digest.view_age_ms / _MS)
         match self._reconciliation.compare(
             host, digest, self._state.version, self._state.fingerprint, now
@@ -303,7 +305,13 @@
             async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
                 message = await self._request_changes(host, after)
         except (OSError, EOFError) as error:
-            self._log.write('pull_failed', peer=host, why=repr(error))
+            self._log.write(
+                'pull_failed',
+                peer=host,
+                era=after.era,
+                revision=after.revision,
+                why=repr(error),
+            )
             return None
         decoded = decode_changes(message)
         if decoded.is_err():
--- a/src/ragwortpost/platform/_store.py
+++ b/src/ragwortpost/platform/_store.py
@@ -186,7 +186,12 @@
     except UnusableItemError as error:
         key = stored_item.get('key')
         _logger.warning(
-            {'event': 'item_unusable', 'key': key, 'why': str(error)},
+            {
+                'event': 'item_unusable',
+                'key': key,
+                'revision': stored_item.get('revision'),
+                'why': str(error),
+            },
         )
     # The last valid configuration stays in force; any other invalid item counts
     # as deleted.
