Reproduce configurations that are not applied, with real processes

Four entries and six agents run on loopback against the stand-in of the store, which now takes items of any bytes and can lose responses; the proxy before it can silence open connections. After a disturbance and 4 s of calm, a route is dropped and one is added; flows that begin over 3 s later must follow.

--- a/standin/fleet/proxy.py
+++ b/standin/fleet/proxy.py
@@ -29,6 +29,7 @@
         self.target = (host, port)
         self.writers: set[asyncio.StreamWriter] = set()
         self._mode = ProxyMode.OPEN
+        self._silenced: set[asyncio.StreamWriter] = set()
 
     @property
     def mode(self) -> ProxyMode:
@@ -42,6 +43,10 @@
             for writer in self.writers:
                 writer.transport.abort()
 
+    def silence_connections(self) -> None:
+        """Forward nothing more on open connections; new ones work."""
+        self._silenced.update(self.writers)
+
     async def serve(self, stack: AsyncExitStack, host: str, port: int) -> None:
         """Accept connections until ``stack`` is closed."""
         server = await asyncio.start_server(self._proxy_connection, host, port)
@@ -75,6 +80,7 @@
     ) -> None:
         self.writers.add(writer)
         stack.callback(self.writers.discard, writer)
+        stack.callback(self._silenced.discard, writer)
         stack.callback(writer.close)
 
     async def _pump(
@@ -88,5 +94,7 @@
                 await asyncio.sleep(DELAY_SECONDS)
             if self._mode in {dropped_in, ProxyMode.UNRESPONSIVE}:
                 continue
+            if writer in self._silenced:
+                continue
             writer.write(chunk)
             await writer.drain()
--- a/standin/fleet/store.py
+++ b/standin/fleet/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from base64 import b64decode, b64encode
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -45,15 +46,28 @@
     # Calls received; a completed watch counts twice.
     calls: int = 0
     fault_mode: FaultMode = FaultMode.HEALTHY
+    # Share of responses that are lost; a connection on which a response was
+    # lost returns nothing further.
+    loss: float = 0
+    loss_choices: random.Random = field(
+        default_factory=lambda: random.Random(1)
+    )
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key: str, fields: object) -> int:
         """Write an item and return its new revision."""
-        value = b64encode(json.dumps(fields).encode()).decode()
+        encoded = json.dumps(fields).encode()
         existing = self.items.get(key)
         if existing and _differ_in_sequence_only(existing['value'], fields):
+            value = b64encode(encoded).decode()
             self.items[key] = {**existing, 'value': value}
             return self.revision
+        return self.put_bytes(key, encoded)
+
+    def put_bytes(self, key: str, encoded: bytes) -> int:
+        """Write an item of any bytes and return its new revision."""
+        value = b64encode(encoded).decode()
+        existing = self.items.get(key)
         self.revision += 1
         item = {
             'key': key,
@@ -109,6 +123,7 @@
     async def handle_key(self, request: web.Request) -> web.Response:
         """Return an item."""
         await self._apply_fault()
+        await self._lose_response()
         item = self.items.get(request.query['key'])
         status = 404 if item is None else 200
         return self._json({**(item or {})}, status)
@@ -116,6 +131,7 @@
     async def handle_range(self, request: web.Request) -> web.Response:
         """Return all items with a prefix, as a single page."""
         await self._apply_fault()
+        await self._lose_response()
         prefix = request.query['prefix']
         items = [
             self.items[key]
@@ -138,8 +154,10 @@
                 ):
                     await self.changed.wait()
         except TimeoutError:
+            await self._lose_response()
             return self._json({'events': []})
         await self._apply_fault()
+        await self._lose_response()
         if after < self.compacted_revision or after > self.revision:
             raise web.HTTPGone(headers=self._headers)
         events = [
@@ -162,6 +180,10 @@
         if self.fault_mode is FaultMode.UNRESPONSIVE:
             await asyncio.sleep(60)
 
+    async def _lose_response(self) -> None:
+        if self.loss_choices.random() < self.loss:
+            await asyncio.Event().wait()
+
     def _record_event(self, event: dict[str, object]) -> None:
         self.history.append(event)
         self._notify_watchers()
@@ -184,7 +206,10 @@
 
 def _differ_in_sequence_only(value: object, fields: object) -> bool:
     """Return whether a write changes no more than an upstream's sequence."""
-    known = json.loads(b64decode(str(value)))
+    try:
+        known = json.loads(b64decode(str(value)))
+    except (ValueError, RecursionError):
+        return False
     if not isinstance(known, dict) or not isinstance(fields, dict):
         return False
     if 'sequence' not in fields or known == fields:
