Tell the end of reading from a failed store, and count unhandled errors

Change: a planned end writes reading_ended only; exceptions outside the named tasks are the event unhandled_error, which is counted. Both name the function. No decision depends on them.

--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -31,6 +31,11 @@
 )
 from ragwortpost.datapath.process._store_port import StorePort
 from ragwortpost.datapath.process._store_reader import StoreReader
+from ragwortpost.datapath.process._unhandled_errors import (
+    LoopErrorHandler,
+    error_handler,
+    origin_of,
+)
 from ragwortpost.datapath.process._view_gossip import ViewGossip
 from ragwortpost.datapath.version import Changes
 
@@ -112,6 +117,11 @@
             return False
         return self._state.fleet.configuration is not None
 
+    @property
+    def error_handler(self) -> LoopErrorHandler:
+        """Handler of the event loop that logs unhandled exceptions."""
+        return error_handler(self._log)
+
     async def open(self, stack: AsyncExitStack) -> None:
         """Open the sockets and start the tasks; ``stack`` closes both.
 
@@ -276,7 +286,10 @@
                 await job()
             except Exception as error:
                 self._log.write(
-                    'task_failed', task=job.__qualname__, why=repr(error)
+                    'task_failed',
+                    task=job.__qualname__,
+                    why=repr(error),
+                    at=origin_of(error),
                 )
             await asyncio.sleep(1)
 
@@ -305,6 +318,7 @@
     async with AsyncExitStack() as stack:
         node = Node(SystemClock(), settings, ports, random.Random())
         node.open_log(stack.enter_context(ExitStack()))
+        loop.set_exception_handler(node.error_handler)
         loop.add_signal_handler(signal.SIGHUP, node.reload)
         await node.open(stack)
         # What a start creates stays until the process ends.
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -190,7 +190,9 @@
     def _stop_reading(self) -> None:
         if self._reading:
             self._reading = False
-            self._set_healthy(healthy=False)
+            if self._gossip.local_status.reading:
+                self._gossip.local_status.reading = False
+                self._gossip.broadcast_digest()
             self._log.write(
                 'reading_ended',
                 era=self._state.era,
