Reject items of the store that peers could not decode

Cause: the reader took whatever converted to a document. A text with an unpaired surrogate can't be encoded, so neither pushes nor pulls passed on any later state; two readers in good order kept all others from reading the store. A value that is nested too deeply failed the reader's task before its view moved, each time it began again. The class: a value from outside is accepted by rules that are wider than those of the messages between processes. Change: items and responses are decoded by types, which are checked and not converted. The reader also decodes each record as a peer would before it enters the view; what fails counts as deleted, is logged once (item_unusable, with the field) and counted (unusable_items). Addresses take ASCII digits only. Why it works: nothing enters a view that has not passed the messages' own decoder, whatever the adapter lets through.

--- a/src/ragwortpost/datapath/process/__init__.py
+++ b/src/ragwortpost/datapath/process/__init__.py
@@ -19,6 +19,7 @@
     )
     from ragwortpost.datapath.process._store_port import (
         HistoryLost,
+        RejectedItem,
         StoreError,
         StorePoint,
         StorePort,
@@ -32,6 +33,7 @@
     'NodeRole',
     'NodeSettings',
     'PlatformPorts',
+    'RejectedItem',
     'StoreError',
     'StorePoint',
     'StorePort',
@@ -58,6 +60,7 @@
         ),
         '_store_port': (
             'HistoryLost',
+            'RejectedItem',
             'StoreError',
             'StorePoint',
             'StorePort',
--- a/src/ragwortpost/datapath/process/_event_log.py
+++ b/src/ragwortpost/datapath/process/_event_log.py
@@ -24,6 +24,7 @@
     (
         'change',
         'history_lost',
+        'item_unusable',
         'reading',
         'reading_ended',
         'reload_needs_restart',
@@ -35,6 +36,7 @@
         'store_lost',
         'store_regained',
         'store_restored',
+        'view_behind',
     )
 )
 
--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -231,6 +231,7 @@
             'known_revision': float(self._state.lag.latest.revision),
             'reading': float(self._gossip.local_status.reading),
             'store_silence_seconds': round(self._store_reader.silence, 3),
+            'unusable_items': float(self._store_reader.unusable_items),
             'peers': float(len(self._context.directory.peers)),
             'processor_seconds': round(time.process_time(), 3),
         }
--- a/src/ragwortpost/datapath/process/_store_port.py
+++ b/src/ragwortpost/datapath/process/_store_port.py
@@ -38,6 +38,18 @@
     era: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class RejectedItem:
+    """An item of the store that can't be decoded."""
+
+    # Identifies the document in the store; empty if the key is invalid.
+    subject: str
+    # The revision of its last change.
+    revision: int
+    # What is wrong with it, with the field and its value where they are known.
+    cause: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreRead:
     """Records that the store returned."""
@@ -48,6 +60,8 @@
     after: int
     # The records, with the era of their versions left at zero.
     records: tuple[Record, ...]
+    # Items that the store holds as well, but that name nothing.
+    rejected: tuple[RejectedItem, ...] = ()
 
 
 class StorePort(Protocol):
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -24,6 +24,7 @@
     StorePort,
     StoreRead,
 )
+from ragwortpost.datapath.process._unusable_items import UnusableItems
 from ragwortpost.datapath.process._view_gossip import ViewGossip
 from ragwortpost.datapath.version import (
     ORIGIN,
@@ -113,6 +114,7 @@
         self._store = store
         self._gossip = gossip
         self._last_enough_readers_at = context.clock.monotonic()
+        self._unusable_items = UnusableItems(context.log)
         self._reading = False
         self._needs_full_read = True
         self._retry_delay = MIN_RETRY_SECONDS
@@ -130,6 +132,11 @@
             return 0
         return self._clock.monotonic() - self._answered_at
 
+    @property
+    def unusable_items(self) -> int:
+        """The number of items that the store held and that name nothing."""
+        return self._unusable_items.count
+
     async def run(self) -> None:
         """Read the store while too few others do, until cancelled."""
         while True:
@@ -260,7 +267,8 @@
             return
         after = StateVersion(era, read.after) if read.after else ORIGIN
         version = StateVersion(era, read.point.revision)
-        self._merge(Changes(after, version, read.records))
+        records = self._unusable_items.usable_records(read)
+        self._merge(Changes(after, version, records))
         await asyncio.sleep(COALESCE_SECONDS)
 
     def _merge(self, changes: Changes) -> None:
--- a/src/ragwortpost/datapath/version/__init__.py
+++ b/src/ragwortpost/datapath/version/__init__.py
@@ -10,6 +10,7 @@
     ChangesEncodingError,
     Host,
     RouteKeyField,
+    check_document,
 )
 from ragwortpost.datapath.version._documents import (
     Configuration,
@@ -54,6 +55,7 @@
     'UpstreamEntry',
     'View',
     'build_index',
+    'check_document',
     'decode_changes',
     'encode_changes',
 ]
--- a/src/ragwortpost/datapath/version/_document_rows.py
+++ b/src/ragwortpost/datapath/version/_document_rows.py
@@ -9,7 +9,7 @@
 from dataclasses import astuple, fields
 from typing import Annotated, Any, Final, TypeAlias
 
-from msgspec import Meta, Raw, Struct, ValidationError
+from msgspec import Meta, MsgspecError, Raw, Struct, ValidationError
 from msgspec.msgpack import Decoder, encode
 from msgspec.structs import astuple as row_fields
 
@@ -30,7 +30,7 @@
 _UPSTREAM: Final = 3
 
 _Seconds: TypeAlias = Annotated[float, Meta(ge=0)]
-_OCTET: Final = r'(25[0-5]|2[0-4]\d|1?\d?\d)'
+_OCTET: Final = '(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])'
 Host: TypeAlias = Annotated[str, Meta(pattern=rf'^{_OCTET}(\.{_OCTET}){{3}}\Z')]
 RouteKeyField: TypeAlias = Annotated[bytes, Meta(min_length=6, max_length=6)]
 
@@ -88,6 +88,7 @@
 _UPSTREAM_DECODER: Final = Decoder(_UpstreamRow)
 _ROW_PARTS_DECODER: Final = Decoder(tuple[Raw, ...])
 _KIND_DECODER: Final = Decoder(int)
+_CHECKED_DECODER: Final = Decoder(tuple[str, Raw])
 _DELETED: Final = encode(None)
 # The index of a row's invalid field in a message of the decoder.
 _FIELD_INDEX: Final = re.compile(r'\$\[(\d+)\]')
@@ -142,6 +143,21 @@
         raise ChangesEncodingError(f'{subject}: {error}', field) from error
 
 
+def check_document(subject: str, document: Document | None) -> None:
+    """Check that peers can decode what a document is encoded as.
+
+    Raises :class:`ChangesEncodingError` if they can't, or if the document is
+    not the same afterwards.
+    """
+    try:
+        row = encode((subject, encode_document(document)))
+    except (MsgspecError, ValueError, OverflowError) as error:
+        raise ChangesEncodingError(f'{subject!r}: {error}') from error
+    _, document_row = _CHECKED_DECODER.decode(row)
+    if decode_document(subject, document_row) != document:
+        raise ChangesEncodingError(f'{subject}: {document} is altered')
+
+
 def _decode_configuration(row: Raw) -> Configuration:
     decoded = _CONFIGURATION_DECODER.decode(row)
     return Configuration(
--- a/src/ragwortpost/platform/_store.py
+++ b/src/ragwortpost/platform/_store.py
@@ -1,30 +1,33 @@
 """Client of the platform's store."""
 
 import json
-import logging
-from collections.abc import Iterable, Mapping
-from typing import Any, Final
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Final, Generic, TypeVar
 from urllib.parse import urlencode
 
 import httptools
+from msgspec import MsgspecError, Struct, convert
 from result import Err, Ok, Result
 
 from ragwortpost._datagrams import HostPort
 from ragwortpost.datapath.process import (
     HistoryLost,
+    RejectedItem,
     StoreError,
     StorePoint,
     StoreRead,
 )
-from ragwortpost.datapath.version import Record, StateVersion
+from ragwortpost.datapath.version import Record
 from ragwortpost.platform._http_client import HttpConnection, HttpResponse
 from ragwortpost.platform._item_decoder import (
     CONFIGURATION_KEY,
+    Natural,
     UnusableItemError,
     decode_item,
 )
 
-_logger = logging.getLogger('ragwortpost')
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _GONE: Final = 410
@@ -36,8 +39,60 @@
 # The prefix that matches every key.
 _ALL_KEYS: Final = ''
 
-_JsonObject = Mapping[str, Any]
-_Decoded = tuple[_JsonObject, StorePoint]
+
+class _PointFields(Struct, rename={'revision': 'storeRevision'}):
+    """The response to a call for one item, without the item."""
+
+    revision: Natural
+
+
+class _Page(
+    Struct,
+    rename={
+        'revision': 'storeRevision',
+        'page': 'items',
+        'has_more': 'hasMore',
+    },
+):
+    """The response to a call for all items."""
+
+    revision: Natural
+    page: Sequence[Any]
+    has_more: bool
+
+    @property
+    def last_key(self) -> str | None:
+        """The key after which the next page begins, if it is valid."""
+        match self.page:
+            case [*_, {'key': str(key)}]:
+                return key
+        return None
+
+
+class _Events(Struct, rename={'revision': 'storeRevision'}):
+    """The response to a watch."""
+
+    revision: Natural
+    events: Sequence[Any]
+
+
+_Fields = TypeVar('_Fields', _PointFields, _Page, _Events)
+
+
+@dataclass(frozen=True, slots=True)
+class _Decoded(Generic[_Fields]):
+    """The fields of a response and the state that it is about."""
+
+    fields: _Fields
+    point: StorePoint
+
+
+@dataclass(frozen=True, slots=True)
+class _DecodedItems:
+    """The records of items, and the items that can't be used."""
+
+    records: Sequence[Record]
+    rejected: Sequence[RejectedItem]
 
 
 class PlatformStore:
@@ -63,26 +118,22 @@
 
         Fails if the store is restored between two pages.
         """
-        records: list[Record] = []
+        stored_items: list[Any] = []
         first: StorePoint | None = None
-        after = ''
-        while True:
-            query = {'prefix': _ALL_KEYS, 'after': after, 'staleOk': int(stale)}
-            match await self._call_json(
-                self._call_connection, 'kv-range', query
-            ):
-                case Err(problem):
-                    return Err(problem)
-                case Ok((fields, point)):
-                    # Later pages may include newer changes. Only a watch that
-                    # starts after the first page's revision misses nothing.
-                    first = first or point
-                    records.extend(_decode_records(fields['items']))
+        after: str | None = ''
+        while after is not None:
+            read = await self._read_page(after, stale=stale)
+            if read.is_err():
+                return Err(read.unwrap_err())
+            page, point = read.unwrap().fields, read.unwrap().point
+            # Later pages may include newer changes. Only a watch that starts
+            # after the first page's revision misses nothing.
+            first = first or point
             if point.era != first.era:
                 return Err(StoreError('restored between two pages', 0))
-            if not fields['hasMore']:
-                return Ok(StoreRead(first, 0, tuple(records)))
-            after = fields['items'][-1]['key']
+            stored_items.extend(page.page)
+            after = page.last_key if page.has_more else None
+        return Ok(_read_of(first or StorePoint(0), 0, stored_items))
 
     async def watch(
         self,
@@ -102,14 +153,15 @@
         response = await self._get(
             self._watch_connection, 'kv-watch', query, wait_seconds
         )
-        match response.and_then(_decode_json):
+        match response.and_then(partial(_decode_response, _Events)):
             case Err(StoreError(status=status)) if status == _GONE:
                 return Err(HistoryLost(revision))
             case Err(problem):
                 return Err(problem)
-            case Ok((fields, point)):
-                records = tuple(_decode_records(fields['events']))
-                return Ok(StoreRead(point, revision, records))
+            case Ok(decoded):
+                return Ok(
+                    _read_of(decoded.point, revision, decoded.fields.events)
+                )
 
     async def probe(self) -> Result[StorePoint, StoreError]:
         """Return the state of a stale read, which may be outdated."""
@@ -120,21 +172,21 @@
                 status == _NOT_FOUND
             ):
                 return Ok(StorePoint(0, _era_of(found)))
-        return response.and_then(_decode_json).map(lambda decoded: decoded[1])
+        decoded = response.and_then(partial(_decode_response, _PointFields))
+        return decoded.map(lambda found: found.point)
 
     def close(self) -> None:
         """Close both connections."""
         self._call_connection.close()
         self._watch_connection.close()
 
-    async def _call_json(
-        self,
-        connection: HttpConnection,
-        name: str,
-        query: Mapping[str, object],
-    ) -> Result[_Decoded, StoreError]:
-        response = await self._get(connection, name, query, 0)
-        return response.and_then(_decode_json)
+    async def _read_page(
+        self, after: str, *, stale: bool
+    ) -> Result[_Decoded[_Page], StoreError]:
+        query = {'prefix': _ALL_KEYS, 'after': after, 'staleOk': int(stale)}
+        response = await self._get(self._call_connection, 'kv-range', query, 0)
+        decoded = response.and_then(partial(_decode_response, _Page))
+        return decoded.and_then(_require_last_key)
 
     async def _get(
         self,
@@ -144,7 +196,9 @@
         wait_seconds: float,
     ) -> Result[HttpResponse, StoreError]:
         self._call_count += 1
-        path = f'/-/{name}?{urlencode(query)}'
+        # A key may hold text that is no valid UTF-8.
+        encoded_query = urlencode(query, errors='surrogatepass')
+        path = f'/-/{name}?{encoded_query}'
         try:
             return Ok(
                 await connection.get(
@@ -163,38 +217,47 @@
     return response.headers.get(_ERA_HEADER, '').strip()
 
 
-def _decode_json(response: HttpResponse) -> Result[_Decoded, StoreError]:
-    """Return the fields of a response and the state that it is about."""
+def _decode_response(
+    fields_type: type[_Fields], response: HttpResponse
+) -> Result[_Decoded[_Fields], StoreError]:
+    """Return the fields of a response; items are left undecoded."""
     if response.status != _OK:
         return Err(StoreError(f'status {response.status}', response.status))
     try:
-        fields: _JsonObject = json.loads(response.body)
-    except ValueError as error:
+        fields = convert(json.loads(response.body), fields_type)
+    except (MsgspecError, ValueError, RecursionError) as error:
         return Err(StoreError(repr(error), 0))
-    revision: int = fields.get('storeRevision', 0)
-    return Ok((fields, StorePoint(revision, _era_of(response))))
+    return Ok(_Decoded(fields, StorePoint(fields.revision, _era_of(response))))
 
 
-def _decode_records(stored_items: Iterable[_JsonObject]) -> Iterable[Record]:
-    decoded = (_decode_record(stored_item) for stored_item in stored_items)
-    return (record for record in decoded if record is not None)
+def _require_last_key(
+    decoded: _Decoded[_Page],
+) -> Result[_Decoded[_Page], StoreError]:
+    if decoded.fields.has_more and decoded.fields.last_key is None:
+        return Err(StoreError('a page of the items ends without a key', 0))
+    return Ok(decoded)
 
 
-def _decode_record(stored_item: _JsonObject) -> Record | None:
-    try:
-        return decode_item(stored_item)
-    except UnusableItemError as error:
-        key = stored_item.get('key')
-        _logger.warning(
-            {
-                'event': 'item_unusable',
-                'key': key,
-                'revision': stored_item.get('revision'),
-                'why': str(error),
-            },
-        )
-    # The last valid configuration stays in force; any other invalid item counts
-    # as deleted.
-    if not key or key == CONFIGURATION_KEY:
-        return None
-    return Record(key, StateVersion(0, stored_item['revision']), None)
+def _read_of(
+    point: StorePoint, after: int, stored_items: Iterable[object]
+) -> StoreRead:
+    decoded = _decode_items(stored_items)
+    return StoreRead(
+        point, after, tuple(decoded.records), tuple(decoded.rejected)
+    )
+
+
+def _decode_items(stored_items: Iterable[object]) -> _DecodedItems:
+    records = []
+    rejected = []
+    for stored_item in stored_items:
+        try:
+            record = decode_item(stored_item)
+        except UnusableItemError as error:
+            rejected.append(
+                RejectedItem(error.key, error.revision, error.cause)
+            )
+        else:
+            if record is not None:
+                records.append(record)
+    return _DecodedItems(records, rejected)
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -72,6 +72,78 @@
     'platform': {'address': '10.200.1.7:8169', 'readsPerS': 2000},
 }
 
+ROUTE = {
+    'name': 'r',
+    'host': '198.18.0.1',
+    'prefix': '/8443/',
+    'timeoutMs': 800,
+    'targetLatencyMs': 143,
+    'priority': 2,
+    'service': 'a',
+}
+SERVICE = {'name': 'a', 'maxConns': 2000, 'warmupS': 2.0, 'warmupPerS': 0.0}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [SERVICE],
+    'limits': {'idleTimeoutMs': 15000},
+}
+# What the store's protocol can carry: also unpaired surrogates, numbers beyond
+# 64 bits and text that JSON does not allow for numbers.
+TEXTS = st.text(max_size=12) | st.text(
+    st.characters(categories=('Cs', 'Nd', 'Lu')), max_size=4
+)
+JSON_SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**80), 2**80)
+    | st.floats()
+    | TEXTS
+    | st.ip_addresses(v=4).map(lambda host: f'{host}:80')
+)
+JSON_VALUES = st.recursive(
+    JSON_SCALARS,
+    lambda values: (
+        st.lists(values, max_size=3)
+        | st.dictionaries(TEXTS, values, max_size=3)
+    ),
+    max_leaves=6,
+)
+FOREIGN_BYTES = (
+    b'[' * 2000,
+    b'{"x":' * 2000,
+    b'\xff\xfe',
+    b'\xef\xbb\xbf{}',
+    b'{"slots": 1e400}',
+    b'{"slots": ' + b'9' * 5000 + b'}',
+    b'null',
+)
+
+
+def foreign_fields(
+    part: str,
+) -> tuple[str, dict[str, object], dict[str, object]]:
+    """Return a key, its valid fields, and the part of them to change."""
+    if part == 'upstream':
+        upstream_fields: dict[str, object] = dict(UPSTREAM)
+        return 'servers/i-1', upstream_fields, upstream_fields
+    route: dict[str, object] = dict(ROUTE)
+    service: dict[str, object] = dict(SERVICE)
+    fields = {**CONFIGURATION, 'routes': [route], 'services': [service]}
+    parts = {'configuration': fields, 'route': route, 'service': service}
+    return 'op/config', fields, parts[part]
+
+
+def assert_reaches_peers(stored_item: dict[str, object]) -> None:
+    """Check that an item is unusable or decoded by peers as it is here."""
+    try:
+        record = decode_item(stored_item)
+    except UnusableItemError:
+        return
+    if record is not None:
+        changes = Changes(at(0), at(1), (record,))
+        assert decode_changes(encode_changes(changes)).unwrap() == changes
+
 
 def stored(key: str, fields: object) -> dict[str, object]:
     value = b64encode(json.dumps(fields).encode()).decode()
@@ -166,27 +238,7 @@
             {'service': 'a', 'weight': 90},
             {'service': 'b', 'weight': 10},
         ]
-        route = {
-            'name': 'r',
-            'host': '198.18.0.1',
-            'prefix': '/8443/',
-            'timeoutMs': 800,
-            'targetLatencyMs': 143,
-            'priority': 2,
-            'split': split,
-        }
-        service = {
-            'name': 'a',
-            'maxConns': 2000,
-            'warmupS': 2.0,
-            'warmupPerS': 0.0,
-        }
-        fields = {
-            'version': 7,
-            'routes': [route],
-            'services': [service],
-            'limits': {'idleTimeoutMs': 15000},
-        }
+        fields = {**CONFIGURATION, 'routes': [{**ROUTE, 'split': split}]}
         record = decode_item(stored('op/config', fields))
         assert record is not None
         configuration = record.document
@@ -226,27 +278,60 @@
             decode_item(stored('servers/i-1', {**UPSTREAM, field: wrong}))
 
     @given(
-        st.sampled_from(sorted(UPSTREAM)),
-        st.none()
-        | st.booleans()
-        | st.integers(-(2**80), 2**80)
-        | st.floats()
-        | st.text(max_size=12)
-        | st.ip_addresses(v=4).map(lambda host: f'{host}:80'),
+        st.sampled_from(('upstream', 'configuration', 'route', 'service')),
+        st.data(),
     )
     def test_what_is_decoded_reaches_peers(
-        self, field: str, changed: object
+        self, part: str, drawn: st.DataObject
     ) -> None:
         # A record that peers can't decode would keep all others from them.
-        try:
-            record = decode_item(
-                stored('servers/i-1', {**UPSTREAM, field: changed})
-            )
-        except UnusableItemError:
-            return
-        assert record is not None
-        changes = Changes(at(0), at(1), (record,))
-        assert decode_changes(encode_changes(changes)).unwrap() == changes
+        key, fields, changed = foreign_fields(part)
+        name = drawn.draw(st.sampled_from(sorted(changed)))
+        changed[name] = drawn.draw(JSON_VALUES)
+        assert_reaches_peers(stored(key, fields))
+
+    @given(
+        st.sampled_from(('key', 'value', 'revision', 'created', 'tombstone')),
+        JSON_VALUES,
+    )
+    def test_foreign_envelopes_reach_peers_or_are_unusable(
+        self, field: str, foreign: object
+    ) -> None:
+        for key in ('servers/i-1', 'op/evacuate/north', 'op/config'):
+            assert_reaches_peers({**stored(key, UPSTREAM), field: foreign})
+
+    @given(
+        st.sampled_from(('servers/i-1', 'op/config')),
+        st.binary(max_size=40) | st.sampled_from(FOREIGN_BYTES),
+    )
+    def test_foreign_bytes_are_unusable(self, key: str, encoded: bytes) -> None:
+        item = {**stored(key, {}), 'value': b64encode(encoded).decode()}
+        with pytest.raises(UnusableItemError) as raised:
+            decode_item(item)
+        assert (raised.value.key, raised.value.revision) == (key, 7)
+
+    @pytest.mark.parametrize(
+        ('field', 'wrong'),
+        [
+            ('slots', '2'),
+            ('slots', 2.0),
+            ('slots', True),
+            ('warmupLeftMs', '0'),
+            ('warmupLeftMs', float('inf')),
+            ('sequence', 4.0),
+            ('version', None),
+            ('address', '١٠.1.0.2:80'),
+            ('address', '10.1.0.2:99999'),
+            ('service', '\ud800 desk'),
+            ('zone', 'north \udfff'),
+        ],
+    )
+    def test_types_are_checked_and_not_converted(
+        self, field: str, wrong: object
+    ) -> None:
+        with pytest.raises(UnusableItemError) as raised:
+            decode_item(stored('servers/i-1', {**UPSTREAM, field: wrong}))
+        assert raised.value.key == 'servers/i-1'
 
     @pytest.mark.parametrize('field', ['service', 'address', 'state', 'slots'])
     def test_upstream_with_a_missing_field(self, field: str) -> None:
@@ -282,6 +367,45 @@
         monkeypatch.setattr(HttpConnection, 'get', answer)
         assert asyncio.run(store.read_all(stale=False)).is_err()
 
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'[' * 2000,
+            b'[]',
+            b'{"storeRevision": 7, "hasMore": false}',
+            b'{"storeRevision": -1, "items": [], "hasMore": false}',
+            b'{"items": [], "hasMore": false}',
+            b'{"storeRevision": 7, "items": [], "hasMore": true}',
+            b'{"storeRevision": 7, "items": [{}], "hasMore": true}',
+        ],
+    )
+    def test_malformed_responses_are_an_error(
+        self, monkeypatch: pytest.MonkeyPatch, body: bytes
+    ) -> None:
+        store = PlatformStore(('10.200.1.7', 1))
+
+        async def answer(*_: object) -> HttpResponse:
+            return HttpResponse(200, body, {})
+
+        monkeypatch.setattr(HttpConnection, 'get', answer)
+        assert asyncio.run(store.read_all(stale=False)).is_err()
+
+    @pytest.mark.parametrize('foreign', [7, None, [], {}, {'key': '\ud800'}])
+    def test_an_item_without_a_usable_key_hides_no_other(
+        self, monkeypatch: pytest.MonkeyPatch, foreign: object
+    ) -> None:
+        store = PlatformStore(('10.200.1.7', 1))
+        items = [foreign, stored('servers/i-1', UPSTREAM)]
+        page = {'items': items, 'storeRevision': 7, 'hasMore': False}
+
+        async def answer(*_: object) -> HttpResponse:
+            return HttpResponse(200, json.dumps(page).encode(), {})
+
+        monkeypatch.setattr(HttpConnection, 'get', answer)
+        read = asyncio.run(store.read_all(stale=False)).unwrap()
+        assert [record.subject for record in read.records] == ['servers/i-1']
+        assert [rejected.subject for rejected in read.rejected] == ['']
+
     def test_probe_of_a_missing_key_reports_the_era(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
