Derive a reader's state from the responses that move its view

Cause: a watch waited up to 16.5 s for a response on a connection that returned nothing more, while a probe on another connection reported the reader as healthy. Two such readers kept all others from reading. The class: a state is reported by something other than the work that it stands for. Change: a watch waits a second at most and its response has a second more to come; it confirms the view and shows a new era, so that the probe goes. A reader that fails to apply a response reports that it does not read and reads all. Tests of the probe are replaced: the age of the view and a new era have the same bounds through watches (1.1 s for the era, 1.5 s before); the fake store gives its era on every response, as the real one does. New: a silent watch and changes that can't be applied end the report of reading. Why it works: what does not answer is found within two seconds, and nothing else can report the reader as healthy. A reader makes one priced call a second in place of a tenth of one.

--- a/src/ragwortpost/datapath/process/_node.py
+++ b/src/ragwortpost/datapath/process/_node.py
@@ -145,7 +145,6 @@
         for job in (
             self._gossip.run,
             self._store_reader.run,
-            self._store_reader.run_probe,
             self._reloader.run,
             self._run_ticks,
         ):
--- a/src/ragwortpost/datapath/process/_store_port.py
+++ b/src/ragwortpost/datapath/process/_store_port.py
@@ -76,6 +76,3 @@
         wait_seconds: float,
     ) -> Result[StoreRead, StoreError | HistoryLost]:
         """Return the changes after a revision, none if the wait times out."""
-
-    async def probe(self) -> Result[StorePoint, StoreError]:
-        """Return the state of a cheap read, which may be stale."""
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
-from contextlib import suppress
 from typing import Final
 
 import xxhash
@@ -34,10 +33,10 @@
 
 # Number of processes that should watch the store at a time.
 READER_COUNT: Final = 2
-# Maximum time that a watch request waits at the store for a change.
-WATCH_SECONDS: Final = 15.0
-# Interval of the cheap reads that check whether the store is reachable.
-PROBE_SECONDS: Final = 1.0
+# Maximum time that a watch request waits at the store for a change. Its
+# response confirms the view, and that the connection returns anything: one that
+# does not must be found before a change that it hides is overdue.
+WATCH_SECONDS: Final = 1.0
 # A process without a digest for this time no longer counts as a reader, nor as
 # an entry that may become one.
 READER_TIMEOUT_SECONDS: Final = 1.2
@@ -54,10 +53,11 @@
 SLOW_LINK_MEGABITS: Final = 50.0
 # Rank positions added for a process with a slow link.
 SLOW_LINK_RANK_PENALTY: Final = 4
-# Maximum wait of the first watch, and then of a full read, while an upstream
-# that was seen gone is in a restored store: writes that only show that it is
-# alive cause no event. Each further wait is twice as long.
+# Time until the first full read, and the longest time, while an upstream that
+# was seen gone is in a restored store: writes that only show that it is alive
+# cause no event. Each further time is twice as long.
 MIN_REREAD_SECONDS: Final = 1.0
+MAX_REREAD_SECONDS: Final = 15.0
 # Interval between checks whether this process should read.
 READER_CHECK_SECONDS: Final = 0.2
 # Minimum and maximum backoff after a failed call.
@@ -119,8 +119,8 @@
         self._needs_full_read = True
         self._retry_delay = MIN_RETRY_SECONDS
         self._reread_delay = MIN_REREAD_SECONDS
-        # Ends the watch in progress when another response shows a new era.
-        self._watch_limit = asyncio.Timeout(None)
+        # Monotonic time of the next full read for upstreams seen gone.
+        self._reread_at: float | None = None
         self._unusable_era: str | None = None
         # Monotonic time of the last response to a full read or a watch.
         self._answered_at = context.clock.monotonic()
@@ -139,19 +139,18 @@
 
     async def run(self) -> None:
         """Read the store while too few others do, until cancelled."""
-        while True:
-            self._update_reading()
-            if self._reading:
-                await self._read()
-            else:
-                await asyncio.sleep(READER_CHECK_SECONDS)
-
-    async def run_probe(self) -> None:
-        """Probe the store periodically while reading, until cancelled."""
-        while True:
-            await asyncio.sleep(PROBE_SECONDS)
-            if self._reading and not self._needs_full_read:
-                await self._probe()
+        try:
+            while True:
+                self._update_reading()
+                if self._reading:
+                    await self._read()
+                else:
+                    await asyncio.sleep(READER_CHECK_SECONDS)
+        except Exception:
+            # The view may lack what could not be applied.
+            self._needs_full_read = True
+            self._set_healthy(healthy=False)
+            raise
 
     def _update_reading(self) -> None:
         now = self._clock.monotonic()
@@ -209,25 +208,28 @@
     async def _read(self) -> None:
         version = self._state.version
         if self._needs_full_read:
+            started = self._clock.monotonic()
             await self._apply(self._store.read_all(stale=False), version)
+            self._metrics.store_call_seconds.observe(
+                self._clock.monotonic() - started
+            )
             return
-        wait = WATCH_SECONDS
-        rereads = self._state.has_withheld
-        if rereads:
-            wait = self._reread_delay
-            self._reread_delay = min(wait * 2, WATCH_SECONDS)
-        else:
+        wait = self._next_wait()
+        await self._apply(self._store.watch(version.revision, wait), version)
+        if self._reread_at is not None:
+            self._needs_full_read |= self._clock.monotonic() >= self._reread_at
+
+    def _next_wait(self) -> float:
+        """Return the time of the next watch; plan a full read if one is due."""
+        if not self._state.has_withheld:
             self._reread_delay = MIN_REREAD_SECONDS
-        self._watch_limit = asyncio.Timeout(None)
-        try:
-            async with self._watch_limit:
-                await self._apply(
-                    self._store.watch(version.revision, wait), version
-                )
-        except TimeoutError:
-            # The probe has found a new era.
-            self._needs_full_read = True
-        self._needs_full_read = self._needs_full_read or rereads
+            self._reread_at = None
+            return WATCH_SECONDS
+        now = self._clock.monotonic()
+        if self._reread_at is None or now >= self._reread_at:
+            self._reread_at = now + self._reread_delay
+            self._reread_delay = min(self._reread_delay * 2, MAX_REREAD_SECONDS)
+        return min(WATCH_SECONDS, self._reread_at - now)
 
     async def _apply(
         self,
@@ -269,7 +271,8 @@
         version = StateVersion(era, read.point.revision)
         records = self._unusable_items.usable_records(read)
         self._merge(Changes(after, version, records))
-        await asyncio.sleep(COALESCE_SECONDS)
+        if records:
+            await asyncio.sleep(COALESCE_SECONDS)
 
     def _merge(self, changes: Changes) -> None:
         before = self._state.version
@@ -280,6 +283,7 @@
         self._set_healthy(healthy=True)
         if before.revision and self._state.era > before.era:
             self._reread_delay = MIN_REREAD_SECONDS
+            self._reread_at = None
             self._log.write(
                 'store_restored',
                 era=self._state.era,
@@ -304,36 +308,6 @@
             self._unusable_era = None
         return verdict, era
 
-    async def _probe(self) -> None:
-        started = self._clock.monotonic()
-        probe_outcome = await self._store.probe()
-        self._metrics.store_call_seconds.observe(
-            self._clock.monotonic() - started
-        )
-        match probe_outcome:
-            case Ok(point):
-                self._apply_probe(point)
-            case Err(error):
-                self._log.write('store_probe_failed', why=repr(error))
-                self._set_healthy(healthy=False)
-
-    def _apply_probe(self, point: StorePoint) -> None:
-        verdict, era = self._judge(point)
-        match verdict:
-            case EraVerdict.NEW:
-                self._needs_full_read = True
-                self._end_watch()
-            case EraVerdict.CURRENT | EraVerdict.UNUSABLE:
-                version = StateVersion(era, max(1, point.revision))
-                self._state.record_report(version, 'store')
-                self._state.confirm(version, 0)
-                self._set_healthy(healthy=True)
-
-    def _end_watch(self) -> None:
-        """End the watch in progress, if there is one."""
-        with suppress(RuntimeError):
-            self._watch_limit.reschedule(asyncio.get_running_loop().time())
-
     async def _back_off(self, error: Exception) -> None:
         self._log.write('store_failed', why=repr(error))
         self._set_healthy(healthy=False)
--- a/src/ragwortpost/platform/_store.py
+++ b/src/ragwortpost/platform/_store.py
@@ -22,30 +22,23 @@
 from ragwortpost.datapath.version import Record
 from ragwortpost.platform._http_client import HttpConnection, HttpResponse
 from ragwortpost.platform._item_decoder import (
-    CONFIGURATION_KEY,
     Natural,
     UnusableItemError,
     decode_item,
 )
 
 _OK: Final = 200
-_NOT_FOUND: Final = 404
 _GONE: Final = 410
 # Header of all responses: the number of restores of the store from a backup.
 _ERA_HEADER: Final = 'store-era'
 _MS_PER_SECOND: Final = 1000
-# Timeout of a request, in addition to the wait of a watch.
-_REQUEST_TIMEOUT_SECONDS: Final = 1.5
+# Timeout of a read, and of a watch in addition to its wait.
+_READ_TIMEOUT_SECONDS: Final = 1.5
+_WATCH_TIMEOUT_SECONDS: Final = 1.0
 # The prefix that matches every key.
 _ALL_KEYS: Final = ''
 
 
-class _PointFields(Struct, rename={'revision': 'storeRevision'}):
-    """The response to a call for one item, without the item."""
-
-    revision: Natural
-
-
 class _Page(
     Struct,
     rename={
@@ -76,7 +69,7 @@
     events: Sequence[Any]
 
 
-_Fields = TypeVar('_Fields', _PointFields, _Page, _Events)
+_Fields = TypeVar('_Fields', _Page, _Events)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,13 +91,12 @@
 class PlatformStore:
     """Reads the store over two connections.
 
-    A pending watch occupies one of them; the other carries all requests to
-    which the store replies immediately.
+    A pending watch occupies one of them; the other carries full reads.
     """
 
     def __init__(self, address: HostPort) -> None:
         """Initialize with the store's address, without connecting."""
-        self._call_connection = HttpConnection(address)
+        self._read_connection = HttpConnection(address)
         self._watch_connection = HttpConnection(address)
         self._call_count = 0
 
@@ -151,7 +143,10 @@
             'waitMs': int(wait_seconds * _MS_PER_SECOND),
         }
         response = await self._get(
-            self._watch_connection, 'kv-watch', query, wait_seconds
+            self._watch_connection,
+            'kv-watch',
+            query,
+            wait_seconds + _WATCH_TIMEOUT_SECONDS,
         )
         match response.and_then(partial(_decode_response, _Events)):
             case Err(StoreError(status=status)) if status == _GONE:
@@ -163,28 +158,18 @@
                     _read_of(decoded.point, revision, decoded.fields.events)
                 )
 
-    async def probe(self) -> Result[StorePoint, StoreError]:
-        """Return the state of a stale read, which may be outdated."""
-        query = {'key': CONFIGURATION_KEY, 'staleOk': 1}
-        response = await self._get(self._call_connection, 'kv-key', query, 0)
-        match response:
-            case Ok(HttpResponse(status=status) as found) if (
-                status == _NOT_FOUND
-            ):
-                return Ok(StorePoint(0, _era_of(found)))
-        decoded = response.and_then(partial(_decode_response, _PointFields))
-        return decoded.map(lambda found: found.point)
-
     def close(self) -> None:
         """Close both connections."""
-        self._call_connection.close()
+        self._read_connection.close()
         self._watch_connection.close()
 
     async def _read_page(
         self, after: str, *, stale: bool
     ) -> Result[_Decoded[_Page], StoreError]:
         query = {'prefix': _ALL_KEYS, 'after': after, 'staleOk': int(stale)}
-        response = await self._get(self._call_connection, 'kv-range', query, 0)
+        response = await self._get(
+            self._read_connection, 'kv-range', query, _READ_TIMEOUT_SECONDS
+        )
         decoded = response.and_then(partial(_decode_response, _Page))
         return decoded.and_then(_require_last_key)
 
@@ -193,18 +178,14 @@
         connection: HttpConnection,
         name: str,
         query: Mapping[str, object],
-        wait_seconds: float,
+        timeout_seconds: float,
     ) -> Result[HttpResponse, StoreError]:
         self._call_count += 1
         # A key may hold text that is no valid UTF-8.
         encoded_query = urlencode(query, errors='surrogatepass')
         path = f'/-/{name}?{encoded_query}'
         try:
-            return Ok(
-                await connection.get(
-                    path, wait_seconds + _REQUEST_TIMEOUT_SECONDS
-                )
-            )
+            return Ok(await connection.get(path, timeout_seconds))
         except (
             OSError,
             EOFError,
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -406,16 +406,18 @@
         assert [record.subject for record in read.records] == ['servers/i-1']
         assert [rejected.subject for rejected in read.rejected] == ['']
 
-    def test_probe_of_a_missing_key_reports_the_era(
+    def test_a_watch_reports_the_era(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         store = PlatformStore(('10.200.1.7', 1))
+        body = b'{"events": [], "storeRevision": 7}'
 
         async def answer(*_: object) -> HttpResponse:
-            return HttpResponse(404, b'', {'store-era': ' 3'})
+            return HttpResponse(200, body, {'store-era': ' 3'})
 
         monkeypatch.setattr(HttpConnection, 'get', answer)
-        assert asyncio.run(store.probe()) == Ok(StorePoint(0, '3'))
+        watched = asyncio.run(store.watch(7, 1)).unwrap()
+        assert watched.point == StorePoint(7, '3')
 
 
 class TestSettingsFile:
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -56,13 +56,12 @@
 
     def __init__(self) -> None:
         self.state = read(0, 5, (Record('out/a', at(5), TakenOut('a')),))
-        # The era of watches that time out.
-        self.era = ''
+        # Whether watches return nothing more, as on a lost connection.
+        self.is_silent = False
         self.failure: StoreError | None = None
         self.history_lost = False
         self.reads: list[float] = []
         self.watches: list[int] = []
-        self.probes = 0
         self.pending_changes: asyncio.Queue[StoreRead] = asyncio.Queue()
 
     async def read_all(self, *, stale: bool) -> Result[StoreRead, StoreError]:
@@ -72,6 +71,9 @@
 
     async def watch(self, revision: int, wait_seconds: float) -> WatchResult:
         self.watches.append(revision)
+        if self.is_silent:
+            await asyncio.sleep(wait_seconds + 1)
+            return Err(UNAVAILABLE)
         if self.failure:
             return Err(self.failure)
         if self.history_lost:
@@ -83,11 +85,7 @@
         except TimeoutError:
             if self.failure:
                 return Err(self.failure)
-            return Ok(read(revision, revision, (), self.era))
-
-    async def probe(self) -> Result[StorePoint, StoreError]:
-        self.probes += 1
-        return Err(self.failure) if self.failure else Ok(self.state.point)
+            return Ok(read(revision, revision, (), self.state.point.era))
 
 
 class ReaderProcess:
@@ -112,8 +110,8 @@
 
     async def open(self, stack: AsyncExitStack) -> None:
         self.gossip._send = self._send  # noqa: SLF001
-        for run in (self.store_reader.run, self.store_reader.run_probe):
-            stack.callback(asyncio.create_task(run()).cancel)
+        running = asyncio.create_task(self.store_reader.run())
+        stack.callback(running.cancel)
 
     def receive_digests(self, *hosts: str, reading: bool = True) -> None:
         now = self.context.clock.monotonic()
@@ -276,7 +274,7 @@
 
         run_scenario(scenario)
 
-    def test_probes_keep_the_view_age_low(self) -> None:
+    def test_watches_keep_the_view_age_low(self) -> None:
         async def scenario(process: ReaderProcess) -> None:
             await asyncio.sleep(10)
             assert process.context.state.age < 2
@@ -284,7 +282,36 @@
             await asyncio.sleep(10)
             assert process.context.state.age > 8
 
-        assert run_scenario(scenario).store.probes >= 9
+        assert len(run_scenario(scenario).store.watches) >= 9
+
+    def test_a_reader_whose_watch_is_silent_does_not_report_reading(
+        self,
+    ) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            await asyncio.sleep(1)
+            process.store.is_silent = True
+            await asyncio.sleep(3)
+            assert not process.gossip.local_status.reading
+            process.store.is_silent = False
+            await asyncio.sleep(3)
+            assert process.gossip.local_status.reading
+
+        run_scenario(scenario)
+
+    def test_a_reader_that_can_not_apply_changes_does_not_report_reading(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(*_: object) -> None:
+            raise KeyError('record')
+
+        async def scenario(process: ReaderProcess) -> None:
+            await asyncio.sleep(0.5)
+            monkeypatch.setattr(process.context.state, 'merge_read', fail)
+            process.store.pending_changes.put_nowait(read(5, 6, ()))
+            await asyncio.sleep(0.5)
+            assert not process.gossip.local_status.reading
+
+        run_scenario(scenario)
 
 
 class TestPropagation:
@@ -331,8 +358,8 @@
         assert process.context.log.audit_trail[-1]['event'] == 'store_restored'
         assert process.context.state.fleet.drained_data_centres == {'a'}
 
-    def test_the_probe_ends_a_watch_that_waits(self) -> None:
-        process = self.run_restored(lambda _: asyncio.sleep(1.5))
+    def test_a_watch_without_changes_shows_a_new_era(self) -> None:
+        process = self.run_restored(lambda _: asyncio.sleep(1.1))
         assert process.context.state.version == at(3, era=1)
         assert process.reads == 2
 
@@ -399,7 +426,6 @@
             )
             await asyncio.sleep(3)
             process.store.state = self.restored(Record(subject, at(3), gone))
-            process.store.era = '1'
             await asyncio.sleep(4)
             assert not state.fleet.upstreams
             alive = replace(gone, sequence=5)
