Close the connection of a pull that fails, and log why

Found in the search for tasks that an exception ends. Change: any failure is the event serve_failed, with its place, and closes. Result: the new test fails on the code before (the peer waits a second).

--- a/src/ragwortpost/datapath/process/_view_gossip.py
+++ b/src/ragwortpost/datapath/process/_view_gossip.py
@@ -30,6 +30,7 @@
     PeerView,
     Reconciliation,
 )
+from ragwortpost.datapath.process._unhandled_errors import origin_of
 from ragwortpost.datapath.version import (
     ORIGIN,
     Changes,
@@ -338,14 +339,24 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        try:
-            async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
-                request = await reader.readexactly(_VERSION_LAYOUT.size)
-                after = StateVersion(*_VERSION_LAYOUT.unpack(request))
-                changes = self._state.changes_since(after)
-                message = encode_changes(changes)
-                writer.write(len(message).to_bytes(_LENGTH_BYTES) + message)
-                await writer.drain()
-        except (OSError, EOFError) as error:
-            self._log.write('serve_failed', why=repr(error))
-        writer.close()
+        async with AsyncExitStack() as stack:
+            stack.callback(writer.close)
+            try:
+                await self._send_changes(reader, writer)
+            except Exception as error:
+                # Closing tells the peer at once to ask another process.
+                self._log.write(
+                    'serve_failed', why=repr(error), at=origin_of(error)
+                )
+
+    async def _send_changes(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
+            request = await reader.readexactly(_VERSION_LAYOUT.size)
+            after = StateVersion(*_VERSION_LAYOUT.unpack(request))
+            message = encode_changes(self._state.changes_since(after))
+            writer.write(len(message).to_bytes(_LENGTH_BYTES) + message)
+            await writer.drain()
--- a/src/ragwortpost/datapath/process/tests/test_view_gossip.py
+++ b/src/ragwortpost/datapath/process/tests/test_view_gossip.py
@@ -12,6 +12,8 @@
 from dataclasses import replace
 from typing import Final
 
+import pytest
+
 from ragwortpost._clock import SystemClock
 from ragwortpost._datagrams import HostPort
 from ragwortpost.datapath.process._codec import decode
@@ -168,6 +170,22 @@
 
         run_scenario(scenario)
 
+    def test_a_peer_that_can_not_be_sent_its_changes_is_told_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(_: object) -> None:
+            raise KeyError('record')
+
+        async def scenario(first: GossipPeer, second: GossipPeer) -> None:
+            monkeypatch.setattr(first.context.state, 'changes_since', fail)
+            second.receive_digest(first.host, 5)
+            async with asyncio.timeout(PULL_TIMEOUT_SECONDS / 2):
+                while not second.context.metrics.events['pull_failed']:
+                    await asyncio.sleep(0.01)
+            assert first.context.metrics.events['serve_failed'] == 1
+
+        run_scenario(scenario)
+
 
 class TestRestores:
     """After a restore of the store, what was known before is kept."""
