Refuse invalid receivers and settings without ending a task

Cause: found in the search for places where a value from outside goes into a process. Sending to a text that is no address raised errors that ended the round of gossip; settings with a number beyond all bounds or nested too deeply raised errors that nothing had typed. Change: a socket refuses such a receiver like any other that it can't send to; such settings are the typed error.

--- a/src/ragwortpost/_datagrams.py
+++ b/src/ragwortpost/_datagrams.py
@@ -23,6 +23,8 @@
 _SOCKET_BUFFER_BYTES: Final = 4194304
 # Longer than any datagram that a process sends, including its envelope.
 _RECEIVE_BUFFER_BYTES: Final = 2000
+# Also those of a receiver that is no valid address or port.
+_SEND_ERRORS: Final = (OSError, ValueError, OverflowError, TypeError)
 
 HostPort: TypeAlias = tuple[str, int]
 ReceiveDatagram: TypeAlias = Callable[[bytes, HostPort], None]
@@ -96,7 +98,7 @@
         def send(datagram: bytes, receiver: HostPort) -> bool:  # noqa: WPS430
             try:
                 udp_socket.sendto(datagram, receiver)
-            except OSError:
+            except _SEND_ERRORS:
                 return False
             return True
 
--- a/src/ragwortpost/datapath/process/tests/test_datagrams.py
+++ b/src/ragwortpost/datapath/process/tests/test_datagrams.py
@@ -1,9 +1,11 @@
 """Tests of the bounds of one wake-up that reads datagrams.
 
 Guards against readiness checks that time out because slow handlers of many
-waiting datagrams keep the event loop from them.
+waiting datagrams keep the event loop from them, and against a task that ends at
+an address to which nothing can be sent.
 """
 
+import asyncio
 import socket
 from contextlib import ExitStack
 
@@ -14,6 +16,7 @@
     BATCH_SIZE,
     DATAGRAMS_PER_READING,
     HostPort,
+    UdpSockets,
     _read_batch,
 )
 from ragwortpost.datapath.process.tests.network import ManualClock
@@ -56,3 +59,21 @@
             while len(handled) <= BATCH_SIZE:
                 _read_batch(receiver, receive, clock.monotonic)
         assert handled == [bytes((index,)) for index in range(BATCH_SIZE + 1)]
+
+
+class TestReceivers:
+    """Addresses to which a socket can't send."""
+
+    @pytest.mark.parametrize(
+        'receiver',
+        [('\ud800', 80), ('127.0.0.1', 70000), ('127.0.0.1', -1)],
+    )
+    def test_an_invalid_receiver_is_refused(self, receiver: HostPort) -> None:
+        async def send() -> bool:
+            with ExitStack() as stack:
+                to_peer = UdpSockets().open(
+                    stack, ('127.0.0.1', 0), lambda *_: None
+                )
+                return to_peer(b'datagram', receiver)
+
+        assert not asyncio.run(send())
--- a/src/ragwortpost/platform/_settings_file.py
+++ b/src/ragwortpost/platform/_settings_file.py
@@ -19,7 +19,14 @@
 SETTINGS_VARIABLE: Final = 'RAGWORTPOST_CONFIG'
 # Processor cores of a process whose settings don't state them.
 DEFAULT_CORES: Final = 1.0
-_PARSE_ERRORS: Final = (ValueError, TypeError, AttributeError, IndexError)
+_PARSE_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class NodeSettingsError(RagwortpostError):
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -468,6 +468,14 @@
         assert f'limits.{field}' in str(problem)
         assert repr(wrong) in str(problem)
 
+    @pytest.mark.parametrize('port', ['1e400', '[' * 2000])
+    def test_numbers_and_depth_beyond_bounds_are_an_error(
+        self, port: str
+    ) -> None:
+        text = json.dumps({**SETTINGS, 'internalPortRange': ['port']})
+        broken = text.replace('"port"', port).encode()
+        assert parse_settings(broken).is_err()
+
     @given(st.binary(max_size=80))
     def test_invalid_settings_are_an_error(self, text: bytes) -> None:
         assert parse_settings(text).is_err()
