--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -239,10 +239,9 @@
         ],
         requested_at: StateVersion,
     ) -> None:
-        outcome = await call
-        self._answered_at = self._clock.monotonic()
-        match outcome:
+        match await call:
             case Ok(read):
+                self._answered_at = self._clock.monotonic()
                 await self._apply_read(read, requested_at)
             case Err(HistoryLost() as lost):
                 self._log.write(
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -37,7 +37,7 @@
 _PORT_BYTES: Final = 2
 # At most the largest signed number of 64 bits.
 Natural: TypeAlias = Annotated[int, Meta(ge=0, le=0x7FFFFFFFFFFFFFFF)]
-_Positive: TypeAlias = Annotated[float, Meta(ge=0)]
+_NonNegative: TypeAlias = Annotated[float, Meta(ge=0)]
 _Address: TypeAlias = Annotated[str, Meta(pattern=r'^[0-9.]+:[0-9]{1,5}\Z')]
 # The path prefix of a route is the port to which callers send.
 _Prefix: TypeAlias = Annotated[str, Meta(pattern=r'^/?[0-9]{1,5}/?\Z')]
@@ -65,15 +65,15 @@
 
 class _SplitItem(Struct):
     service: str
-    weight: _Positive
+    weight: _NonNegative
 
 
 class _RouteItem(Struct, rename='camel'):
     name: str
     host: str
     prefix: _Prefix
-    timeout_ms: _Positive
-    target_latency_ms: _Positive
+    timeout_ms: _NonNegative
+    target_latency_ms: _NonNegative
     service: str | None = None
     split: list[_SplitItem] | None = None
     priority: Natural = 0
@@ -82,12 +82,12 @@
 class _ServiceItem(Struct, rename='camel'):
     name: str
     max_conns: Natural
-    warmup_s: _Positive
-    warmup_per_s: _Positive | None
+    warmup_s: _NonNegative
+    warmup_per_s: _NonNegative | None
 
 
 class _LimitsItem(Struct, rename='camel'):
-    idle_timeout_ms: _Positive
+    idle_timeout_ms: _NonNegative
 
 
 class _ConfigurationItem(Struct):
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -298,6 +298,15 @@
 
         run_scenario(scenario)
 
+    def test_failed_calls_do_not_end_the_silence_of_the_store(self) -> None:
+        async def scenario(process: ReaderProcess) -> None:
+            await asyncio.sleep(1)
+            process.store.failure = UNAVAILABLE
+            await process.receive_digests_for(5)
+            assert process.store_reader.silence > 4
+
+        run_scenario(scenario)
+
     def test_a_reader_that_can_not_apply_changes_does_not_report_reading(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
