Limit the names in items of upstreams to the length of a key

An item that peers can't be sent keeps every process that doesn't read the store at the view before it. Cause: another writer's item may hold names of up to a megabyte. Together they exceed what a process unpacks of a peer's message (16 MiB), so that each pull of the view fails with 'pull_unreadable', and two readers keep all others from reading. Change: a name of over 200 bytes, the store's limit for keys, makes an item of an upstream unusable. The largest usable item fits into one pushed datagram.

--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -35,6 +35,9 @@
     RecursionError,
 )
 _PORT_BYTES: Final = 2
+# Maximum length of the names in an upstream's item, that of a key. Each process
+# sends them to its peers: longer ones would delay every change on slow links.
+MAX_NAME_BYTES: Final = 200
 # At most the largest signed number of 64 bits.
 Natural: TypeAlias = Annotated[int, Meta(ge=0, le=0x7FFFFFFFFFFFFFFF)]
 _NonNegative: TypeAlias = Annotated[float, Meta(ge=0)]
@@ -212,12 +215,19 @@
     int(port).to_bytes(_PORT_BYTES)
     return UpstreamEntry(
         ident=upstream_id,
-        service=fields.service,
+        service=_check_name(fields.service),
         host=host,
-        data_centre=fields.zone,
+        data_centre=_check_name(fields.zone),
         slots=fields.slots,
         leaving=fields.state == 'draining',
         warm_up_left=max(0, fields.warmup_left_ms / _MS_PER_SECOND),
         born=fields.born,
         sequence=fields.sequence,
     )
+
+
+def _check_name(name: str) -> str:
+    length = len(name.encode())
+    if length > MAX_NAME_BYTES:
+        raise ValueError(f'a name of {length} bytes is too long')
+    return name
--- a/src/ragwortpost/platform/tests/test_platform.py
+++ b/src/ragwortpost/platform/tests/test_platform.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 from base64 import b64encode
 from contextlib import suppress
 
@@ -16,6 +17,7 @@
 
 from ragwortpost.datapath.connection import format_flow
 from ragwortpost.datapath.process import StorePoint
+from ragwortpost.datapath.process._view_gossip import MAX_DATAGRAM_BYTES
 from ragwortpost.datapath.version import (
     Changes,
     Configuration,
@@ -327,6 +329,8 @@
             ('address', '10.1.0.2:99999'),
             ('service', '\ud800 desk'),
             ('zone', 'north \udfff'),
+            ('service', 'd' * 201),
+            ('zone', 'é' * 101),
         ],
     )
     def test_types_are_checked_and_not_converted(
@@ -336,6 +340,22 @@
             decode_item(stored('servers/i-1', {**UPSTREAM, field: wrong}))
         assert raised.value.key == 'servers/i-1'
 
+    @pytest.mark.parametrize('length', [1, 200, 10000, 700000])
+    def test_an_item_is_unusable_or_pushed_to_peers_in_one_datagram(
+        self, length: int
+    ) -> None:
+        # A view that is too large to be pulled in time over a slow link would
+        # keep all changes from the processes that don't read the store.
+        name = random.Random(length).randbytes(length).hex()[:length]
+        fields = {**UPSTREAM, 'service': name, 'zone': name}
+        try:
+            record = decode_item(stored('servers/' + 'i' * 192, fields))
+        except UnusableItemError:
+            return
+        assert record is not None
+        changes = encode_changes(Changes(at(0), at(1), (record,)))
+        assert len(changes) <= MAX_DATAGRAM_BYTES
+
     @pytest.mark.parametrize('field', ['service', 'address', 'state', 'slots'])
     def test_upstream_with_a_missing_field(self, field: str) -> None:
         fields = {name: UPSTREAM[name] for name in UPSTREAM if name != field}
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -29,6 +30,9 @@
 # Machines count as in touch this long after a disruption.
 STABLE_SECONDS = 4.0
 OBSERVED_SECONDS = 8.0
+# Together more than a process may unpack of a peer's message.
+LARGE_ITEM_COUNT = 24
+LARGE_NAME_BYTES = 1000000
 
 Disturbance: TypeAlias = Callable[[Deployment], Awaitable[None]]
 
@@ -64,6 +68,14 @@
     return write
 
 
+async def write_largest_items(deployment: Deployment) -> None:
+    """Write items of almost the largest size, with a service nobody has."""
+    for number in range(LARGE_ITEM_COUNT):
+        service = random.Random(number).randbytes(LARGE_NAME_BYTES // 2).hex()
+        item = {**FOREIGN_ITEM, 'service': service}
+        deployment.store.put(f'servers/foreign-{number}', item)
+
+
 async def silence_connections(deployment: Deployment) -> None:
     """Silence all open connections to the store."""
     for vm in deployment.vms.values():
@@ -149,6 +161,11 @@
         disturb = write_foreign_bytes(b'[' * 2000)
         assert not run_change(tmp_path, worker_id, disturb)
 
+    def test_items_too_large_for_a_message_to_peers_stop_no_change(
+        self, tmp_path: Path, worker_id: str
+    ) -> None:
+        assert not run_change(tmp_path, worker_id, write_largest_items)
+
     @pytest.mark.parametrize('slots', [-1, '2', 1e400])
     def test_a_number_of_the_wrong_kind_stops_no_change(
         self, tmp_path: Path, worker_id: str, slots: object
