Let the upstream alone decide whether it holds an unknown flow

Cause: an agent that has restarted beside its upstream learns by delivering a packet whether the upstream holds its flow. It did so only for packets and queries tagged with its own service. The tag names the service that the entry's present configuration gives the flow, which may not be the one that the flow was opened at. So the holder denied the flow, and so did all others. Ruled out: registrations and inventories. All kinds of queries were denied by the same comparison (test_no_query_is_denied_by_its_service). Change: two decisions are separated. The entry decides by its configuration whether a flow has a route, and which service a new flow is opened at. Whether an upstream holds a flow is decided by its agent's record or the upstream itself, whatever the tag. Only the tag of a flow without a route denies it: the entry resets it, also where its lookup was in progress. An opening packet is not admitted because of a lookup with the same key, nor because of an established flow with the same key if its route leads to another service by now. Related paths: lookups by inventories asked nobody if the route's service had no agent, and ended without an outcome; a flow of a dropped route whose agent had restarted was neither delivered nor reset until its caller's deadline. Why it works: no agent denies a flow without its own record or its upstream's return, so that a reset needs the denial of every possible holder.

--- a/src/ragwortpost/datapath/connection/_flow_lookups.py
+++ b/src/ragwortpost/datapath/connection/_flow_lookups.py
@@ -62,6 +62,10 @@
         """Return the number of lookups."""
         return len(self._lookups)
 
+    def __iter__(self) -> Iterator[FlowLookup]:
+        """Yield the lookups as they are at the first one."""
+        yield from tuple(self._lookups.values())
+
     def get(self, flow: FlowKey) -> FlowLookup | None:
         """Return the lookup of a flow, or none if there is none."""
         return self._lookups.get(flow)
--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -71,6 +71,11 @@
     # The upstream's first sequence number; none if its handshake was not seen.
     accepted_sequence: int | None = None
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether no answer to the upstream's handshake is awaited."""
+        return self.handshake_sequence is None
+
     @property
     def is_established(self) -> bool:
         """Whether the flow is open here for certain.
@@ -80,7 +85,7 @@
         caller may have opened a flow with the same key at another upstream.
         """
         return (
-            self.handshake_sequence is None
+            self.is_answered
             and self.accepted_sequence is not None
             and not self.closing
         )
--- a/src/ragwortpost/datapath/connection/_holder_search.py
+++ b/src/ragwortpost/datapath/connection/_holder_search.py
@@ -149,12 +149,13 @@
             yield from self._unnamed(other, both[1:])
 
     def pop_denied(self) -> Iterator[FlowLookup]:
-        """Remove and yield the lookups that all possible holders denied."""
-        if not self._holders.own:
-            return
+        """Remove and yield the lookups that all possible holders denied.
+
+        While no agent of the service is known, none is yielded.
+        """
         if self._in_service:
             self._move_denied()
-        if self._in_others:
+        if self._in_others and self._holders.own:
             denials = self.denials()
             for lookup in self._denied(filter, self._in_others, denials):
                 self.remove(lookup)
@@ -167,8 +168,12 @@
 
     def _move_denied(self) -> None:
         """Move the lookups that the service's agents have all denied."""
-        denials = self._watermarks.denials(self._holders.own)
-        for denied in self._denied(takewhile, self._in_service, denials):
+        if self._holders.own:
+            denials = self._watermarks.denials(self._holders.own)
+            moved = self._denied(takewhile, self._in_service, denials)
+        else:
+            moved = tuple(self._in_service.values())
+        for denied in moved:
             flow = denied.packet.flow
             self._in_service.pop(flow)
             self._take_position(denied)
--- a/src/ragwortpost/datapath/connection/_unconfirmed_packets.py
+++ b/src/ragwortpost/datapath/connection/_unconfirmed_packets.py
@@ -20,6 +20,8 @@
     entries: tuple[str, ...]
     # Monotonic time of the last delivery, in seconds.
     delivered_at: float
+    # Whether one of the packets was an admitted opening packet.
+    opens: bool
 
 
 class UnconfirmedPackets:
@@ -38,12 +40,20 @@
         """The flows whose packets await their outcome."""
         return tuple(self._deliveries)
 
-    def add(self, flow: FlowKey, entry: str, now: float) -> None:
+    def awaits_acceptance(self, flow: FlowKey) -> bool:
+        """Return whether an opening packet of a flow awaits its outcome."""
+        delivery = self._deliveries.get(flow)
+        return delivery is not None and delivery.opens
+
+    def add(
+        self, flow: FlowKey, entry: str, now: float, *, opens: bool
+    ) -> None:
         """Record a delivery and the entry that waits for its outcome."""
+        opens |= self.awaits_acceptance(flow)
         entries = self.pop(flow)
         if entry not in entries:
             entries = (*entries, entry)
-        self._deliveries[flow] = _Delivery(entries, now)
+        self._deliveries[flow] = _Delivery(entries, now, opens)
 
     def pop(self, flow: FlowKey) -> tuple[str, ...]:
         """Remove a flow; return the entries that wait for the outcome."""
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -29,6 +29,7 @@
     FlowRegistrations,
 )
 from ragwortpost.datapath.process._messages import (
+    NO_ROUTE,
     Forward,
     ForwardOutcome,
     ForwardPurpose,
@@ -45,6 +46,7 @@
     LookupQuery,
     QueryResponder,
 )
+from ragwortpost.datapath.process._upstream_presence import UpstreamPresence
 
 # A held flow without packets for this time is removed. Exceeds the idle limit
 # of the configuration, so that no flow is removed that may still be in use.
@@ -83,6 +85,7 @@
             context.settings.first_start, FLOW_IDLE_SECONDS
         )
         self._upstream_liveness = UpstreamLiveness()
+        self._presence = UpstreamPresence(context, self._upstream_liveness)
         # Admits new flows and grants room for them.
         self.room: Final = AgentRoom(
             context, side.service, self.held_flows, self._upstream_liveness
@@ -92,7 +95,7 @@
         self._unconfirmed = UnconfirmedPackets()
         self._query_responder = QueryResponder(
             context,
-            AgentFlows(self.held_flows, self._unconfirmed, self._may_hold),
+            AgentFlows(self.held_flows, self._unconfirmed, self._presence),
             self._send_message,
         )
         self._registrations = FlowRegistrations(
@@ -225,7 +228,7 @@
         self._registered.expire(now)
         self._query_responder.answer_due()
         self._registrations.tick(now)
-        if self._is_upstream_gone():
+        if self._presence.is_gone:
             for flow, entries in self._unconfirmed.pop_all().items():
                 for entry in entries:
                     self._reply(ForwardOutcome.NOT_HELD, flow, entry)
@@ -233,22 +236,13 @@
         self.room.grant()
 
     def _may_hold(self, service: ServiceTag) -> bool:
-        """Return whether the upstream may hold unknown flows of a service."""
-        return service == self._service_tag and not self._is_upstream_gone()
+        """Return whether the upstream may hold an unknown flow.
 
-    def _is_upstream_gone(self) -> bool:
-        """Return whether the upstream is deregistered and unresponsive.
-
-        Only a fresh view proves that the store has no record of it.
+        Its route may have led to this upstream's service when it was opened,
+        so the service that its route leads to now does not matter. Only flows
+        without a route are not looked up.
         """
-        if not self._upstream_liveness.has_stopped_responding(
-            self._clock.monotonic()
-        ):
-            return False
-        fleet = self._state.fleet
-        if fleet.configuration is None or not self._state.is_fresh:
-            return False
-        return self._settings.host not in fleet.upstreams_by_host
+        return service != NO_ROUTE and not self._presence.is_gone
 
     def _check_upstream_start(self) -> None:
         """Mark the held flows complete if the upstream had no earlier agent."""
@@ -292,9 +286,7 @@
         packet: Packet,
         entry: str,
     ) -> None:
-        held = self.held_flows.get(packet.flow)
-        if held is not None or packet.flow in self._unconfirmed:
-            # A retransmission of an admitted packet.
+        if self._repeats_opening(packet.flow, forward.service):
             self._deliver_unconfirmed(packet, entry)
             return
         if forward.service == self._service_tag:
@@ -306,10 +298,24 @@
         else:
             self._refuse(refusal, packet, entry)
 
+    def _repeats_opening(self, flow: FlowKey, service: ServiceTag) -> bool:
+        """Return whether an opening packet repeats an admitted one.
+
+        Its route may lead to another service by now. Then a packet that comes
+        after the handshake may open a new flow with the same key, which this
+        upstream must not get.
+        """
+        if self._unconfirmed.awaits_acceptance(flow):
+            return True
+        held = self.held_flows.get(flow)
+        if held is None:
+            return False
+        return service == self._service_tag or not held.is_answered
+
     def _deliver_unconfirmed(self, packet: Packet, entry: str) -> None:
         """Deliver a packet and record the entry that waits for the outcome."""
         now = self._clock.monotonic()
-        self._unconfirmed.add(packet.flow, entry, now)
+        self._unconfirmed.add(packet.flow, entry, now, opens=packet.opens)
         self._upstream_liveness.record_delivery(now, opens=packet.opens)
         self._deliver(packet)
 
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -4,7 +4,7 @@
 the upstreams that hold their flows.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from ragwortpost._datagrams import HostPort, SendDatagram
@@ -81,7 +81,10 @@
             ),
         )
         ports = FlowLocatorPorts(
-            self._forward, self._send_query, self._reset_not_held
+            self._forward,
+            self._send_query,
+            self._reset_not_held,
+            self._handle_unrouted,
         )
         self._locator = FlowLocator(context, self._selector, ports)
         self._send_to_caller: SendDatagram | None = None
@@ -212,8 +215,12 @@
         agent = self._cache.get(packet.flow)
         if agent is not None:
             self._forward(packet, agent, ForwardPurpose.KNOWN_FLOW)
-        elif self._is_routed(route_key_of(packet.flow)):
-            self._locator.locate(packet)
+        else:
+            self._locate(packet)
+
+    def _locate(self, packet: Packet, *, denied_by: Iterable[str] = ()) -> None:
+        if self._is_routed(route_key_of(packet.flow)):
+            self._locator.locate(packet, denied_by=denied_by)
         else:
             self._handle_unrouted(packet)
 
@@ -230,7 +237,7 @@
             # A reply contains the packet only if it was forwarded to a cached
             # holder, so the cache was wrong.
             self._cache.remove(reply.flow)
-            self._locator.locate(packet, denied_by=(agent,))
+            self._locate(packet, denied_by=(agent,))
         else:
             self._locator.on_not_held(reply.flow, agent)
 
--- a/src/ragwortpost/datapath/process/_flow_locator.py
+++ b/src/ragwortpost/datapath/process/_flow_locator.py
@@ -5,7 +5,7 @@
 requested, which answer for all lookups together.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from itertools import islice
 from typing import Final
@@ -18,9 +18,11 @@
     OutgoingQuery,
     Packet,
     QueryBatcher,
+    RouteKey,
     UnansweredQueries,
     agents_to_query,
     agents_without_view,
+    route_key_of,
 )
 from ragwortpost.datapath.process._inventory_searches import (
     InventoryRequest,
@@ -35,6 +37,7 @@
 from ragwortpost.datapath.process._node_context import NodeContext
 from ragwortpost.datapath.process._possible_holders import HolderDirectory
 from ragwortpost.datapath.process._upstream_selector import UpstreamSelector
+from ragwortpost.datapath.version import Route
 
 # Time for registrars to relay a packet to its flow's holder, before all agents
 # are queried.
@@ -58,6 +61,8 @@
     send_query: Callable[[OutgoingQuery | InventoryRequest], None]
     # Handles a packet whose flow no upstream holds.
     on_not_found: Callable[[Packet], None]
+    # Handles a packet whose route the configuration no longer has.
+    on_unrouted: Callable[[Packet], None]
 
 
 class FlowLocator:
@@ -78,6 +83,8 @@
         self._holders = HolderDirectory(context, selector)
         self._ports = ports
         self._lookups = FlowLookups()
+        # The routes for which lookups were last checked.
+        self._routes: Mapping[RouteKey, Route] = {}
         self._query_batcher = QueryBatcher()
         self._unanswered = UnansweredQueries()
         self._searches = InventorySearches(
@@ -133,6 +140,7 @@
         """Repeat lost queries, widen overdue lookups, remove expired ones."""
         now = self._clock.monotonic()
         self._holders.refresh()
+        self._end_unrouted()
         self._repeat_lost_queries()
         for lookup in self._lookups.overdue(now - REGISTRAR_TIMEOUT_SECONDS):
             lookup.queries_all = True
@@ -149,6 +157,17 @@
             self._discard_queries(expired)
             self._searches.remove(expired)
 
+    def _end_unrouted(self) -> None:
+        """End the lookups whose routes a new configuration dropped."""
+        fleet = self._state.fleet
+        if fleet.configuration is None or fleet.routes is self._routes:
+            return
+        self._routes = fleet.routes
+        for lookup in self._lookups:
+            if route_key_of(lookup.packet.flow) not in fleet.routes:
+                self._end(lookup.packet.flow)
+                self._ports.on_unrouted(lookup.packet)
+
     def _end(self, flow: FlowKey) -> FlowLookup | None:
         lookup = self._lookups.remove(flow)
         if lookup is not None:
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 import xxhash
 
@@ -50,7 +50,7 @@
 
     # Why the packet is forwarded.
     purpose: ForwardPurpose
-    # The service that the flow's route leads to.
+    # The service that the flow's route leads to, or ``NO_ROUTE``.
     service: ServiceTag
     # The packet as the caller sent it.
     raw: bytes
@@ -223,3 +223,7 @@
 def service_tag(service: str) -> ServiceTag:
     """Return the hash that identifies a service in messages."""
     return xxhash.xxh64_intdigest(service.encode())
+
+
+# The tag of a flow whose route the configuration does not have.
+NO_ROUTE: Final = service_tag('')
--- a/src/ragwortpost/datapath/process/_query_responder.py
+++ b/src/ragwortpost/datapath/process/_query_responder.py
@@ -18,9 +18,9 @@
     FlowQueryReply,
     Inventory,
     InventoryQuery,
-    ServiceTag,
 )
 from ragwortpost.datapath.process._node_context import NodeContext
+from ragwortpost.datapath.process._upstream_presence import UpstreamPresence
 
 LookupQuery: TypeAlias = FlowQuery | InventoryQuery
 
@@ -33,8 +33,8 @@
 
     held: HeldFlows
     unconfirmed: UnconfirmedPackets
-    # Whether the upstream may hold unknown flows of a service.
-    may_hold: Callable[[ServiceTag], bool]
+    # Whether the upstream may hold flows that are not recorded.
+    presence: UpstreamPresence
 
 
 class QueryResponder:
@@ -73,7 +73,8 @@
         if self._flows.held.is_complete or not undecided:
             self._answer(query, entry)
             return
-        # An entry that requests the inventory again needs one answer.
+        # An entry that requests the inventory again needs one answer for each
+        # of its searches.
         key = query.service if isinstance(query, InventoryQuery) else query
         self._deferral.defer(key, entry, query)
 
@@ -87,12 +88,12 @@
     def _flow_reply(self, query: FlowQuery) -> FlowQueryReply:
         """Return which of the queried flows the upstream may hold."""
         denied, possibly_held = [], []
-        may_hold = self._flows.may_hold(query.service)
+        is_gone = self._flows.presence.is_gone
         for flow in query.flows:
             match self._flows.held.ownership_of(flow):
                 case Ownership.NOT_HELD:
                     denied.append(flow)
-                case Ownership.UNKNOWN if not may_hold:
+                case Ownership.UNKNOWN if is_gone:
                     denied.append(flow)
                 case _:
                     possibly_held.append(flow)
@@ -118,7 +119,7 @@
             query.number,
             load,
             pace_ms,
-            held.is_complete or not self._flows.may_hold(query.service),
+            held.is_complete or self._flows.presence.is_gone,
             part=0,
             parts=0,
             flow_hashes=(),
