Ignore upstreams that would start in the future

What callers saw: an item with the address of a running upstream and a start in the future makes an agent that restarts take its record for complete, since the upstream seems to have started after it. It denies the flows that the upstream holds, and they are reset. A start beyond the year 9999 raises ValueError in that agent with each change of the view, so that a reader ends its reading again and again. Cause: a start of any size was taken, and converted to a date. Change: readers reject an upstream that starts over an hour after their own clock ('item_unusable'). Agents compare the start without converting it, as a peer of an earlier build may send one.

--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import Final
 
 from ragwortpost._datagrams import HostPort, SendDatagram
@@ -250,8 +250,9 @@
         if upstream is None:
             return
         self.held_flows.slots = max(1, upstream.slots)
-        started_at = datetime.fromtimestamp(upstream.born / _MS, UTC)
-        if started_at > self._started_at - MIN_RESTART_GAP:
+        earliest_end = self._started_at - MIN_RESTART_GAP
+        # The time of the upstream's start may be beyond the range of a date.
+        if upstream.born > earliest_end.timestamp() * _MS:
             self.held_flows.mark_complete()
         self._query_responder.decide()
 
--- a/src/ragwortpost/datapath/process/_store_reader.py
+++ b/src/ragwortpost/datapath/process/_store_reader.py
@@ -114,7 +114,7 @@
         self._store = store
         self._gossip = gossip
         self._last_enough_readers_at = context.clock.monotonic()
-        self._unusable_items = UnusableItems(context.log)
+        self._unusable_items = UnusableItems(context.clock, context.log)
         self._reading = False
         self._needs_full_read = True
         self._retry_delay = MIN_RETRY_SECONDS
--- a/src/ragwortpost/datapath/process/_unusable_items.py
+++ b/src/ragwortpost/datapath/process/_unusable_items.py
@@ -1,26 +1,33 @@
 """Keeps items of the store that name nothing out of the view."""
 
 from collections.abc import Iterable
+from datetime import timedelta
 from typing import Final
 
+from ragwortpost._clock import Clock
 from ragwortpost.datapath.process._event_log import EventLog
 from ragwortpost.datapath.process._store_port import RejectedItem, StoreRead
 from ragwortpost.datapath.version import (
     ChangesEncodingError,
     Record,
     StateVersion,
+    UpstreamEntry,
     check_document,
 )
 
+# Starts later than this are not real: the clocks of VMs differ by seconds.
+MAX_CLOCK_DIFFERENCE: Final = timedelta(hours=1)
 # Longest cause in a log line: it may quote the item, which may be of any size.
 MAX_CAUSE_LENGTH: Final = 200
+_MS: Final = 1000
 
 
 class UnusableItems:
     """The items of the store that this process has rejected."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, clock: Clock, log: EventLog) -> None:
         """Start without any item."""
+        self._clock = clock
         self._log = log
         # Revisions of the rejected items, by subject.
         self._revisions: dict[str, int] = {}
@@ -36,7 +43,9 @@
         An unusable item counts as deleted. The view keeps the last valid
         configuration nevertheless.
         """
-        checked = [(record, _rejection_of(record)) for record in read.records]
+        checked = [
+            (record, self._rejection_of(record)) for record in read.records
+        ]
         usable = [record for record, rejection in checked if rejection is None]
         rejected = [rejection for _, rejection in checked if rejection]
         rejected.extend(read.rejected)
@@ -48,6 +57,26 @@
         )
         return (*usable, *deletions)
 
+    def _rejection_of(self, record: Record) -> RejectedItem | None:
+        """Return why a record is not of a real document, none if it is."""
+        cause = ''
+        try:
+            check_document(record.subject, record.document)
+        except ChangesEncodingError as error:
+            cause = error.cause
+        match record.document:
+            case UpstreamEntry(born=born) if self._is_in_future(born):
+                cause = (
+                    f'{record.subject}: its start at {born} is in the future'
+                )
+        if not cause:
+            return None
+        return RejectedItem(record.subject, record.version.revision, cause)
+
+    def _is_in_future(self, unix_ms: int) -> bool:
+        latest = self._clock.now() + MAX_CLOCK_DIFFERENCE
+        return unix_ms > latest.timestamp() * _MS
+
     def _record(
         self,
         read: StoreRead,
@@ -71,13 +100,3 @@
             revision=unusable.revision,
             why=unusable.cause[:MAX_CAUSE_LENGTH],
         )
-
-
-def _rejection_of(record: Record) -> RejectedItem | None:
-    """Return why a record can't be sent to peers, none if it can."""
-    try:
-        check_document(record.subject, record.document)
-    except ChangesEncodingError as error:
-        revision = record.version.revision
-        return RejectedItem(record.subject, revision, error.cause)
-    return None
--- a/src/ragwortpost/datapath/process/tests/test_unusable_items.py
+++ b/src/ragwortpost/datapath/process/tests/test_unusable_items.py
@@ -29,7 +29,8 @@
 
 def make_items() -> tuple[UnusableItems, Counter[str]]:
     events = Counter[str]()
-    return UnusableItems(EventLog(ManualClock(), events)), events
+    clock = ManualClock()
+    return UnusableItems(clock, EventLog(clock, events)), events
 
 
 def read_of(*records: Record, after: int = 0) -> StoreRead:
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -59,6 +59,17 @@
     return write
 
 
+def write_item_at_upstream(**fields: object) -> Disturbance:
+    """Return a disturbance: another writer's item at an upstream's address."""
+
+    async def write(deployment: Deployment) -> None:
+        address = f'{deployment.address(2, 1)}:80'
+        item = {**FOREIGN_ITEM, 'address': address, **fields}
+        deployment.store.put('servers/foreign', item)
+
+    return write
+
+
 def write_foreign_bytes(encoded: bytes) -> Disturbance:
     """Return a disturbance: another writer's item of these bytes."""
 
@@ -161,6 +172,28 @@
         disturb = write_foreign_bytes(b'[' * 2000)
         assert not run_change(tmp_path, worker_id, disturb)
 
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'born': 2**63 - 1},
+            {'slots': 2**63 - 1},
+            {'address': '127.9.9.9:65536'},
+            {'service': 'unknown', 'born': 1700000000000},
+        ],
+    )
+    def test_a_number_beyond_its_range_stops_no_change(
+        self, tmp_path: Path, worker_id: str, fields: dict[str, object]
+    ) -> None:
+        disturb = write_item_at_upstream(**fields)
+        assert not run_change(tmp_path, worker_id, disturb)
+
+    def test_a_field_that_is_nested_too_deeply_stops_no_change(
+        self, tmp_path: Path, worker_id: str
+    ) -> None:
+        nested = b'{"service": "desk", "other": ' + b'[' * 50000
+        disturb = write_foreign_bytes(nested + b']' * 50000 + b'}')
+        assert not run_change(tmp_path, worker_id, disturb)
+
     def test_items_too_large_for_a_message_to_peers_stop_no_change(
         self, tmp_path: Path, worker_id: str
     ) -> None:
