Limit the slots of upstreams and the loads in messages

What callers saw: an item of another writer with many slots and the address of a running upstream ended the agent's reply to each of its packets with struct.error once the upstream seemed to fail requests; with many slots it also attracts the new flows of its service. Cause: the load of such an upstream grows with its slots, and two messages carry it in 16 bits without a limit. Inventories and grants have had one. Change: higher loads are sent as the largest one, and an item with more than 65,535 slots is unusable. Evidence: the new test fails on the commit before with struct.error for 65,535, 65,536 and 2**63 - 1 slots.

--- a/src/ragwortpost/datapath/process/_codec.py
+++ b/src/ragwortpost/datapath/process/_codec.py
@@ -60,8 +60,8 @@
 _FORWARD_REPLY: Final = 13
 _CHANGES: Final = 19
 _EXTENSIBLE_DIGEST: Final = 20
-# Longer paces are sent as this one.
-_MAX_PACE_MS: Final = 0xFFFF
+# Higher loads and longer paces are sent as this one.
+_MAX_SHORT: Final = 0xFFFF
 # Maximum flows in one message; with the header they nearly fill a datagram.
 FLOWS_PER_DATAGRAM: Final = 100
 _REPLY_TO_SENDER: Final = '0.0.0.0'  # noqa: S104
@@ -95,8 +95,8 @@
         case FlowQueryReply(load, denied, possibly_held, pace_ms):
             header = _FLOW_QUERY_REPLY_HEADER.pack(
                 _FLOW_QUERY_REPLY,
-                load,
-                min(pace_ms, _MAX_PACE_MS),
+                min(load, _MAX_SHORT),
+                min(pace_ms, _MAX_SHORT),
                 len(denied),
             )
             return header + b''.join((*denied, *possibly_held))
@@ -104,8 +104,8 @@
             header = _FORWARD_REPLY_HEADER.pack(
                 _FORWARD_REPLY,
                 outcome,
-                load,
-                min(pace_ms, _MAX_PACE_MS),
+                min(load, _MAX_SHORT),
+                min(pace_ms, _MAX_SHORT),
                 *version,
                 flow,
             )
--- a/src/ragwortpost/platform/_item_decoder.py
+++ b/src/ragwortpost/platform/_item_decoder.py
@@ -40,6 +40,8 @@
 MAX_NAME_BYTES: Final = 200
 # At most the largest signed number of 64 bits.
 Natural: TypeAlias = Annotated[int, Meta(ge=0, le=0x7FFFFFFFFFFFFFFF)]
+# At most the largest load that messages between processes carry.
+_Slots: TypeAlias = Annotated[int, Meta(ge=0, le=0xFFFF)]
 _NonNegative: TypeAlias = Annotated[float, Meta(ge=0)]
 _Address: TypeAlias = Annotated[str, Meta(pattern=r'^[0-9.]+:[0-9]{1,5}\Z')]
 # The path prefix of a route is the port to which callers send.
@@ -58,7 +60,7 @@
     service: str
     address: _Address
     zone: str
-    slots: Natural
+    slots: _Slots
     state: Literal['ready', 'draining']
     warmup_left_ms: float
     version: str = ''
--- a/src/ragwortpost/platform/tests/test_foreign_items.py
+++ b/src/ragwortpost/platform/tests/test_foreign_items.py
@@ -7,6 +7,7 @@
 import json
 from base64 import b64encode
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -21,6 +22,7 @@
 from ragwortpost.platform._item_decoder import UnusableItemError, decode_item
 
 HOST = '10.0.0.1'
+SECOND_ENTRY = '10.0.1.2'
 FOREIGN_FIELDS = {
     'service': 'desk',
     'address': f'{HOST}:80',
@@ -86,6 +88,21 @@
         write_item(network, **{field: number})
         assert open_flows(network)
 
+    @pytest.mark.parametrize('slots', [65535, 65536, LARGEST_INT])
+    def test_a_load_of_any_size_can_be_sent(
+        self, monkeypatch: pytest.MonkeyPatch, slots: int
+    ) -> None:
+        # The load of an upstream that seems to fail its requests grows with
+        # its slots.
+        network = Network(upstream(1))
+        write_item(network, slots=slots)
+        held_flows = network.agents[HOST].held_flows
+        monkeypatch.setattr(held_flows, 'is_suspected', lambda _: True)
+        open_flows(network)
+        network.add_entry(SECOND_ENTRY)
+        network.send_request(flow_key(), HOST, SECOND_ENTRY)
+        assert not network.resets
+
     def test_a_start_in_the_future_denies_no_open_flow(self) -> None:
         # An agent takes its record for complete if its upstream started later.
         network = Network(upstream(1))
