Let an item that names no service hide no upstream at its address

What callers saw: an item of another writer with a service that the configuration does not name, the address of a running upstream and a later start replaced that upstream: it got no new flows. Cause: of several upstreams at one address, the one that started last was taken. Change: those of named services go first.

--- a/src/ragwortpost/datapath/version/_fleet_index.py
+++ b/src/ragwortpost/datapath/version/_fleet_index.py
@@ -81,12 +81,13 @@
 def build_index(records: Iterable[Record], previous: FleetIndex) -> FleetIndex:
     """Index the records of a view.
 
-    If several upstreams have the same VM address, the one that started last is
-    the current one. Routes and services are taken from ``previous`` unless the
-    records have another configuration.
+    Of several upstreams with the same VM address, those whose service the
+    configuration names go first, and then the one that started last. Routes
+    and services are taken from ``previous`` unless the records have another
+    configuration.
     """
     configuration = previous.configuration
-    upstreams_by_start = []
+    found_upstreams = []
     drained_data_centres = []
     for record in records:
         match record.document:
@@ -95,14 +96,7 @@
             case TakenOut(data_centre):
                 drained_data_centres.append(data_centre)
             case UpstreamEntry() as upstream:
-                upstreams_by_start.append(upstream)
-    upstreams_by_start.sort(key=lambda upstream: upstream.born)
-    upstreams_by_host = {
-        upstream.host: upstream for upstream in upstreams_by_start
-    }
-    upstreams = defaultdict(list)
-    for upstream in upstreams_by_host.values():
-        upstreams[upstream.service].append(upstream)
+                found_upstreams.append(upstream)
     routes, services = previous.routes, previous.services
     if (
         configuration is not None
@@ -110,6 +104,16 @@
     ):
         routes = {route.key: route for route in configuration.routes}
         services = {policy.name: policy for policy in configuration.services}
+    # An item of another writer, with a service nobody has, hides no upstream.
+    found_upstreams.sort(
+        key=lambda upstream: (upstream.service in services, upstream.born)
+    )
+    upstreams_by_host = {
+        upstream.host: upstream for upstream in found_upstreams
+    }
+    upstreams = defaultdict(list)
+    for upstream in upstreams_by_host.values():
+        upstreams[upstream.service].append(upstream)
     return FleetIndex(
         configuration,
         routes,
--- a/src/ragwortpost/platform/tests/test_foreign_items.py
+++ b/src/ragwortpost/platform/tests/test_foreign_items.py
@@ -112,3 +112,12 @@
         for _ in range(2):
             network.send_request(flow_key(), HOST)
         assert not network.resets
+
+
+class TestNames:
+    """An item that names no service of the configuration hides no other."""
+
+    def test_the_upstream_at_its_address_stays_in_use(self) -> None:
+        network = Network(upstream(1))
+        write_item(network, service='unknown')
+        assert open_flows(network) == {HOST}
