Tag lookups with the service of the agent that is asked

Change: entries tag packets of known flows and queries with the service of the agent, as they did without a view; new flows keep the tag of their route. A flow without a route keeps its own tag. Agents of this build ignore the tags, so that nothing changes between processes of this build.

--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -26,6 +26,7 @@
 )
 from ragwortpost.datapath.process._inventory_searches import InventoryRequest
 from ragwortpost.datapath.process._messages import (
+    NO_ROUTE,
     FlowQuery,
     FlowQueryReply,
     Forward,
@@ -36,6 +37,7 @@
     InventoryQuery,
     RoomDemand,
     RoomGrant,
+    ServiceTag,
     service_tag,
 )
 from ragwortpost.datapath.process._new_flows import NewFlowPorts, NewFlows
@@ -287,27 +289,44 @@
         self, packet: Packet, agent: str, purpose: ForwardPurpose
     ) -> None:
         if self._send_to_peer is not None:
-            service = service_tag(self._service_at(packet.flow, agent))
-            message = Forward(purpose, service, packet.raw)
+            tag = self._tag_of(packet.flow, agent, purpose)
+            message = Forward(purpose, tag, packet.raw)
             address = (agent, self._settings.peer_port)
             self._send_to_peer(encode(message), address)
 
-    def _service_at(self, flow: FlowKey, agent: str) -> str:
-        """Return the service of a flow that an agent may hold.
+    def _tag_of(
+        self, flow: FlowKey, agent: str, purpose: ForwardPurpose
+    ) -> ServiceTag:
+        """Return the service tag of a packet that is forwarded to an agent.
 
-        Without a view it is that of the agent: only agents whose service has
-        served the flow's route are queried then.
+        Only a new flow has to be of the service that its route leads to.
         """
         fleet = self._state.fleet
-        if fleet.configuration is not None:
-            return fleet.service_of(flow) or ''
+        routed = fleet.service_of(flow)
+        if fleet.configuration is not None and routed is None:
+            return NO_ROUTE
+        if purpose is ForwardPurpose.NEW_FLOW:
+            return service_tag(routed or '')
+        return self._query_tag(agent, routed or '')
+
+    def _query_tag(self, agent: str, service: str) -> ServiceTag:
+        """Return the tag of a query to an agent for flows of a service.
+
+        It is that of the agent's own service, if it is known: agents of earlier
+        builds deny unknown flows of others.
+        """
         peer = self._directory.peers.get(agent)
-        return peer.digest.service if peer else ''
+        upstream = self._state.fleet.upstreams_by_host.get(agent)
+        if peer is not None and peer.digest.service:
+            service = peer.digest.service
+        elif upstream is not None:
+            service = upstream.service
+        return service_tag(service)
 
     def _send_query(self, query: OutgoingQuery | InventoryRequest) -> None:
         if self._send_to_peer is None:
             return
-        tag = service_tag(query.service)
+        tag = self._query_tag(query.agent, query.service)
         address = (query.agent, self._settings.peer_port)
         if isinstance(query, InventoryRequest):
             request = InventoryQuery(tag, query.number)
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -50,7 +50,8 @@
 
     # Why the packet is forwarded.
     purpose: ForwardPurpose
-    # The service that the flow's route leads to, or ``NO_ROUTE``.
+    # The service that a new flow's route leads to. Of a known flow that of the
+    # agent, or ``NO_ROUTE``.
     service: ServiceTag
     # The packet as the caller sent it.
     raw: bytes
@@ -88,7 +89,7 @@
 class FlowQuery:
     """Queries an agent for the flows that its upstream may hold."""
 
-    # The service that the flows' route leads to.
+    # The service of the agent; it denies nothing.
     service: ServiceTag
     flows: tuple[FlowKey, ...]
 
@@ -113,7 +114,7 @@
 class InventoryQuery:
     """Queries an agent for all flows that its upstream holds."""
 
-    # The service that the flows looked up lead to.
+    # The service of the agent; it denies nothing.
     service: ServiceTag
     # Identifies the query among those of one entry.
     number: int
--- a/src/ragwortpost/datapath/process/_query_responder.py
+++ b/src/ragwortpost/datapath/process/_query_responder.py
@@ -73,8 +73,7 @@
         if self._flows.held.is_complete or not undecided:
             self._answer(query, entry)
             return
-        # An entry that requests the inventory again needs one answer for each
-        # of its searches.
+        # An entry that requests the inventory again needs one answer.
         key = query.service if isinstance(query, InventoryQuery) else query
         self._deferral.defer(key, entry, query)
 
--- a/src/ragwortpost/datapath/process/tests/test_moved_routes.py
+++ b/src/ragwortpost/datapath/process/tests/test_moved_routes.py
@@ -5,6 +5,7 @@
 against new flows at upstreams of services that their routes don't lead to.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 from itertools import permutations
 
@@ -190,6 +191,47 @@
         assert not denials['not_held']
 
 
+class TestEarlierBuilds:
+    """Agents of earlier builds deny unknown flows with another tag."""
+
+    @pytest.mark.parametrize('fleet', FLEETS)
+    def test_lookups_are_tagged_with_the_service_of_the_agent(
+        self, fleet: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        network = make_network(*fleet)
+        holder = open_flow(network)
+        move_route(network, 'archive')
+        restart_agents(network, 'desk', 'layout', 'archive')
+        for document in network.documents:
+            self.check_tags(monkeypatch, network, document)
+        network.add_entry(SECOND_ENTRY)
+        before = requests_at(network, holder)
+        for entry in (ENTRY, SECOND_ENTRY):
+            network.send_request(FLOW, holder, entry)
+            run_ticks(network)
+        assert requests_at(network, holder) == before + 2
+
+    def check_tags(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        network: Network,
+        document: UpstreamEntry,
+    ) -> None:
+        agent = network.agents[document.host]
+        for name in ('receive_forward', 'receive_query'):
+            receive = getattr(agent, name)
+
+            def check(
+                message: Forward | FlowQuery | InventoryQuery,
+                entry: str,
+                receive: Callable[..., None] = receive,
+            ) -> None:
+                assert message.service == service_tag(document.service)
+                receive(message, entry)
+
+            monkeypatch.setattr(agent, name, check)
+
+
 class TestDroppedRoutes:
     """The configuration decides whether a flow is looked up at all."""
 
