Keep held flows for as long as the configuration lets them pause

Cause: the configuration's limit was decoded and used nowhere. Agents removed a flow from their record after 30 s and denied it from then on. Change: a held flow is kept for the limit of the configuration of now and two seconds more, and for 30 s at least.

--- a/src/ragwortpost/datapath/connection/_held_flows.py
+++ b/src/ragwortpost/datapath/connection/_held_flows.py
@@ -98,10 +98,11 @@
         """Start empty.
 
         If ``complete``, the upstream holds no flows opened before the agent
-        started. Flows without packets for ``idle_seconds`` are removed.
+        started. Flows without packets for ``idle_seconds``, which may change
+        later, are removed.
         """
         self._complete = complete
-        self._idle_seconds = idle_seconds
+        self.idle_seconds = idle_seconds
         self._flows: dict[FlowKey, HeldFlow] = {}
         # Times at which the upstream last returned a packet of a flow.
         self._returned_at: dict[FlowKey, float] = {}
@@ -240,14 +241,14 @@
         not held.
         """
         for flow, held in list(self._flows.items())[:_MAX_FLOWS_PER_SWEEP]:
-            if now - held.last_packet_at > self._idle_seconds:
+            if now - held.last_packet_at > self.idle_seconds:
                 self._abandon_request(held, now)
                 self._flows.pop(flow)
                 continue
             # Reinsert at the end, so that the next sweep checks other flows.
             self._flows[flow] = self._flows.pop(flow)
         for flow, returned_at in list(self._returned_at.items()):
-            if now - returned_at <= self._idle_seconds:
+            if now - returned_at <= self.idle_seconds:
                 break
             self._returned_at.pop(flow)
 
--- a/src/ragwortpost/datapath/process/_agent.py
+++ b/src/ragwortpost/datapath/process/_agent.py
@@ -47,10 +47,14 @@
     QueryResponder,
 )
 from ragwortpost.datapath.process._upstream_presence import UpstreamPresence
+from ragwortpost.datapath.version import Configuration
 
-# A held flow without packets for this time is removed. Exceeds the idle limit
-# of the configuration, so that no flow is removed that may still be in use.
+# A held flow without packets for this time is removed, unless the configuration
+# allows longer pauses.
 FLOW_IDLE_SECONDS: Final = 30.0
+# Time for which a flow is kept beyond the pauses that the configuration allows:
+# its caller's next packet may be on its way.
+IDLE_MARGIN_SECONDS: Final = 2.0
 # Interval between sweeps for idle flows.
 SWEEP_INTERVAL_SECONDS: Final = 1.0
 # Registrations are kept for at least this time, the age after which a flow may
@@ -218,6 +222,8 @@
         now = self._clock.monotonic()
         if now - self._last_sweep >= SWEEP_INTERVAL_SECONDS:
             self._last_sweep = now
+            configuration = self._state.fleet.configuration
+            self.held_flows.idle_seconds = _idle_seconds(configuration)
             self.held_flows.expire(now)
         suspected = self.held_flows.is_suspected(now)
         if suspected is not self._is_suspected:
@@ -410,3 +416,11 @@
             reset = self._packets.reset(packet.flow, packet.acknowledged)
             caller = (caller_address(packet.flow), self._settings.packet_port)
             self._send_outbound(reset, caller)
+
+
+def _idle_seconds(configuration: Configuration | None) -> float:
+    """Return the time without packets after which a held flow is removed."""
+    if configuration is None:
+        return FLOW_IDLE_SECONDS
+    allowed = configuration.idle_seconds + IDLE_MARGIN_SECONDS
+    return max(FLOW_IDLE_SECONDS, allowed)
--- a/src/ragwortpost/datapath/process/tests/test_flows.py
+++ b/src/ragwortpost/datapath/process/tests/test_flows.py
@@ -127,6 +127,30 @@
         assert len(network.upstreams[holder].received) == 3
         assert not network.resets
 
+    def test_after_a_pause_that_a_later_configuration_allows(self) -> None:
+        network = Network()
+        holder = open_flow(network)
+        longer = replace(CONFIGURATION, version=9, idle_seconds=45.0)
+        network.publish(configuration_record(0, longer))
+        network.advance(44.0)
+        send_data(network, ENTRY)
+        network.advance(0.1)
+        assert len(network.upstreams[holder].received) == 3
+        assert not network.resets
+
+    def test_record_is_removed_after_the_longest_pause(self) -> None:
+        network = Network()
+        holder = open_flow(network)
+        held_flows = network.agents[holder].held_flows
+        longer = replace(CONFIGURATION, version=9, idle_seconds=45.0)
+        network.publish(configuration_record(0, longer))
+        network.advance(44.0)
+        assert len(held_flows) == 1
+        shorter = replace(CONFIGURATION, version=10)
+        network.publish(configuration_record(0, shorter))
+        network.advance(2.0)
+        assert not held_flows
+
     def test_while_its_upstream_is_leaving(self) -> None:
         network = Network()
         holder = open_flow(network)
