--- a/src/ragwortpost/datapath/connection/_flow_lookups.py
+++ b/src/ragwortpost/datapath/connection/_flow_lookups.py
@@ -63,7 +63,7 @@
         return len(self._lookups)
 
     def __iter__(self) -> Iterator[FlowLookup]:
-        """Yield the lookups as they are at the first one."""
+        """Yield all lookups; they may be removed meanwhile."""
         yield from tuple(self._lookups.values())
 
     def get(self, flow: FlowKey) -> FlowLookup | None:
--- a/src/ragwortpost/datapath/process/_entry.py
+++ b/src/ragwortpost/datapath/process/_entry.py
@@ -299,7 +299,7 @@
     ) -> ServiceTag:
         """Return the service tag of a packet that is forwarded to an agent.
 
-        Only a new flow has to be of the service that its route leads to.
+        Only for a new flow it is that of the service its route leads to now.
         """
         fleet = self._state.fleet
         routed = fleet.service_of(flow)
@@ -310,10 +310,10 @@
         return self._query_tag(agent, routed or '')
 
     def _query_tag(self, agent: str, service: str) -> ServiceTag:
-        """Return the tag of a query to an agent for flows of a service.
+        """Return the service tag of a lookup at an agent.
 
-        It is that of the agent's own service, if it is known: agents of earlier
-        builds deny unknown flows of others.
+        It is that of the agent's own service, or of the given one if that is
+        not known: agents of earlier builds deny unknown flows of others.
         """
         peer = self._directory.peers.get(agent)
         upstream = self._state.fleet.upstreams_by_host.get(agent)
--- a/src/ragwortpost/datapath/process/_messages.py
+++ b/src/ragwortpost/datapath/process/_messages.py
@@ -50,8 +50,8 @@
 
     # Why the packet is forwarded.
     purpose: ForwardPurpose
-    # The service that a new flow's route leads to. Of a known flow that of the
-    # agent, or ``NO_ROUTE``.
+    # The service that the route of a new flow leads to; for any other packet,
+    # the service of the agent, or ``NO_ROUTE``.
     service: ServiceTag
     # The packet as the caller sent it.
     raw: bytes
@@ -89,7 +89,7 @@
 class FlowQuery:
     """Queries an agent for the flows that its upstream may hold."""
 
-    # The service of the agent; it denies nothing.
+    # The service of the agent. Only agents of earlier builds compare it.
     service: ServiceTag
     flows: tuple[FlowKey, ...]
 
@@ -114,7 +114,7 @@
 class InventoryQuery:
     """Queries an agent for all flows that its upstream holds."""
 
-    # The service of the agent; it denies nothing.
+    # The service of the agent. Only agents of earlier builds compare it.
     service: ServiceTag
     # Identifies the query among those of one entry.
     number: int
--- a/src/ragwortpost/datapath/process/_query_responder.py
+++ b/src/ragwortpost/datapath/process/_query_responder.py
@@ -33,7 +33,7 @@
 
     held: HeldFlows
     unconfirmed: UnconfirmedPackets
-    # Whether the upstream may hold flows that are not recorded.
+    # Whether the upstream may still hold any.
     presence: UpstreamPresence
 
 
--- a/src/ragwortpost/datapath/process/_unusable_items.py
+++ b/src/ragwortpost/datapath/process/_unusable_items.py
@@ -15,7 +15,8 @@
     check_document,
 )
 
-# Starts later than this are not real: the clocks of VMs differ by seconds.
+# Maximum time by which an upstream's start may be ahead of the reader's clock.
+# The clocks of VMs differ by seconds.
 MAX_CLOCK_DIFFERENCE: Final = timedelta(hours=1)
 # Longest cause in a log line: it may quote the item, which may be of any size.
 MAX_CAUSE_LENGTH: Final = 200
