--- a/review/standins-2/backend.py
+++ b/review/standins-2/backend.py
@@ -65,6 +65,8 @@
         self.opened: list[tuple[float, Flow]] = []
         self.runs: dict[str, int] = {}
         self.forged = 0
+        # Monotonic time until which it is cold, and the rate that it bears.
+        self.cold_until = 0.0
         self._write = write
         self._record = record
         self._slots = asyncio.Semaphore(self.slots)
@@ -74,6 +76,11 @@
         self._health: asyncio.Server | None = None
         self._outbound = ('', 0)
 
+    @property
+    def warmup_left_ms(self) -> int:
+        """How much longer it stays cold."""
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     @property
     def entry(self) -> dict:
         """Its entry in the store."""
@@ -84,7 +91,7 @@
             'version': 'v1',
             'slots': self.slots,
             'state': self.state,
-            'warmupLeftMs': 0,
+            'warmupLeftMs': self.warmup_left_ms,
             'sequence': self.sequence,
             'born': self.born,
         }
@@ -124,6 +131,21 @@
             task.cancel()
         self._write(f'servers/{self.ident}', None)
 
+    def crash(self) -> None:
+        """End without a word; its flows are lost and its entry stays."""
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+        self._socket = None
+        self._health.close()
+        for task in self._tasks:
+            task.cancel()
+        for end in self.ends.values():
+            if end.timer is not None:
+                end.timer.cancel()
+        self.ends.clear()
+        self.ended.clear()
+        self._record('crashed', backend=self.ident)
+
     async def _beat(self, heartbeat: float) -> None:
         while True:
             self.report()
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -88,6 +88,8 @@
         self.version = 3
         self.routes: dict[int, str] = {}
         self.idle_timeout_ms = 15000
+        self.warmup_seconds = 2.0
+        self.warmup_per_second = 0.0
         self._record_file = (folder / 'record.txt').open('w')
         self._tasks: list[asyncio.Task] = []
         self._scratch = tempfile.TemporaryDirectory()
@@ -170,6 +172,21 @@
         self.clients.append(host)
         return host
 
+    async def return_cold(self, machine: Machine, ident: str) -> Backend:
+        """Start a backend again beside a running process, cold."""
+        crashed = machine.backend
+        assert crashed is not None
+        backend = Backend(
+            ident, crashed.service, crashed.zone, self._write_entry, self.record
+        )
+        backend.cold_until = time.monotonic() + self.warmup_seconds
+        await backend.start(
+            machine.host, self.ports.app, self.ports.outbound, HEARTBEAT_SECONDS
+        )
+        machine.backend = backend
+        self.record('returned cold', backend=ident, machine=machine.name)
+        return backend
+
     def drain(self, machine: Machine) -> float:
         """Report that a backend leaves; return when it was acknowledged."""
         assert machine.backend is not None
@@ -375,8 +392,8 @@
             'maxConns': 2000,
             'protocol': 'h1',
             'tls': False,
-            'warmupS': 2.0,
-            'warmupPerS': 0.0,
+            'warmupS': self.warmup_seconds,
+            'warmupPerS': self.warmup_per_second,
         }
 
     def _settings(self, machine: Machine, seeds: list[str]) -> dict:
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -24,6 +24,8 @@
         self.history: list[dict] = []
         # Addresses whose calls get no answer.
         self.cut: set[str] = set()
+        # Whether it is down: no call gets an answer and no write is done.
+        self.is_down = False
         # Addresses by the time of their last answered call.
         self.answered: dict[str, float] = {}
         self._changed = asyncio.Event()
@@ -31,6 +33,8 @@
 
     def put(self, key: str, fields: object) -> None:
         """Write an item; the change is acknowledged when this returns."""
+        if self.is_down:
+            return
         known = self.items.get(key)
         if known is not None and _differ_in_sequence_only(
             known['fields'], fields
@@ -52,6 +56,8 @@
 
     def delete(self, key: str) -> None:
         """Remove an item."""
+        if self.is_down:
+            return
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._record(
@@ -83,7 +89,7 @@
             target = head.split(b' ', 2)[1].decode()
             status, body = await self._answer(target)
             # A connection that was cut stays silent for good.
-            silent = silent or host in self.cut
+            silent = silent or host in self.cut or self.is_down
             if silent:
                 continue
             self.answered[host] = asyncio.get_running_loop().time()
